Serve a search from a caller to every shard and back

Cause: there was nothing yet; everything later is measured on this path.

Change: schema, one instance program with a read-copy-update blackboard, stand-ins for backend servers and the platform, the command line, and a demo that starts them as plain processes.

Ruled out: one balanced gRPC channel per service, since its balancer would decide where we must; a value per configuration, since a change would rewrite up to a megabyte. The head is swapped and each service has a key of its own that is never written twice.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+PROGRAMS = lentilward lentilctl lentilstand lentilload
+MODULES = schema $(PROGRAMS)
+SITE ?= trondelag
+NAME ?= steady
+SEED ?= 1
+
+.PHONY: build demo test generate experiment report
+
+build:
+	mkdir -p bin
+	for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
+
+demo: build
+	scripts/demo.sh
+
+test:
+	scripts/test.sh
+
+generate:
+	cd schema && GOWORK=off go tool -modfile=../tools/buf/go.mod buf generate
--- /dev/null
+++ b/lentilward/backend/chooser.go
@@ -0,0 +1,84 @@
+package backend
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"lentilward.org/lentilward/blackboard"
+)
+
+const (
+	// coldTrickle is the inverse of the share of choices that prefer a cold
+	// server of this instance's, so that it warms while others bear the load.
+	coldTrickle = 4
+	// unknownLatency stands for a server without replies, in nanoseconds.
+	unknownLatency = 1e6
+)
+
+// tryAcquire takes a place on the best holder that has one, or returns nil.
+// Servers in tried are left out.
+func tryAcquire(holders, tried []*blackboard.Server) *blackboard.Server {
+	var buffer [8]*blackboard.Server
+	candidates := buffer[:0]
+	preferCold := rand.IntN(coldTrickle) == 0
+	for _, s := range holders {
+		if admits(s) && !slices.Contains(tried, s) {
+			candidates = append(candidates, s)
+		}
+	}
+	for len(candidates) > 0 {
+		i := best(candidates, preferCold)
+		if candidates[i].TryAcquire() {
+			return candidates[i]
+		}
+		candidates = slices.Delete(candidates, i, i+1)
+	}
+	return nil
+}
+
+// admits tells whether this instance decides alone about work for the server.
+func admits(s *blackboard.Server) bool {
+	return s.Usable() && (s.Warm() || s.Owned())
+}
+
+// best returns the index of the candidate with the shortest expected time.
+func best(candidates []*blackboard.Server, preferCold bool) int {
+	found := 0
+	bestScore := 0.0
+	for i, s := range candidates {
+		score := score(s)
+		if preferCold && !s.Warm() {
+			score = 0
+		}
+		if i == 0 || score < bestScore {
+			found, bestScore = i, score
+		}
+	}
+	return found
+}
+
+// score is the time that one more request would take, with a little noise so
+// that instances do not all choose the same server.
+func score(s *blackboard.Server) float64 {
+	latency := float64(s.Latency())
+	if latency == 0 {
+		latency = unknownLatency
+	}
+	const noise = 0.1
+	return float64(s.InFlight.Load()+1) * latency * (1 + noise*rand.Float64())
+}
+
+// usable tells whether any holder not tried yet could take work, and whether a
+// warm one could.
+func usable(holders, tried []*blackboard.Server) (anyUsable, anyWarm bool) {
+	for _, s := range holders {
+		if !s.Usable() || slices.Contains(tried, s) {
+			continue
+		}
+		anyUsable = true
+		if s.Warm() {
+			anyWarm = true
+		}
+	}
+	return anyUsable, anyWarm
+}
--- /dev/null
+++ b/lentilward/backend/place.go
@@ -0,0 +1,150 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"lentilward.org/lentilward/blackboard"
+)
+
+const (
+	// waitSlice is how long a task waits in a queue before it looks again at
+	// what has changed.
+	waitSlice = 50 * time.Millisecond
+	// reconnectWait is how long a patient task waits when no holder is up.
+	reconnectWait = 10 * time.Millisecond
+	// cancelGrace is how long a cold server's place stays taken after a call
+	// that was given up, since the server may still run it.
+	cancelGrace = 250 * time.Millisecond
+)
+
+// place is the right to have one request on a server. Release must be called
+// once; proven tells that the server replied.
+type place struct {
+	server  *blackboard.Server
+	cold    bool
+	release func(proven bool)
+}
+
+// Permit is the answer of the instance that owns a cold server.
+type Permit struct {
+	Granted bool
+	// Warm tells that the server needs no permits, if it runs the process
+	// BootID.
+	Warm   bool
+	BootID uint64
+	// Release gives the place back.
+	Release func(proven bool)
+}
+
+// acquire takes a place on a holder of the task's shard. It waits until the
+// context ends.
+func (r *Runner) acquire(ctx context.Context, q *Request, holders, tried []*blackboard.Server, service string) (*place, error) {
+	for ctx.Err() == nil {
+		if s := tryAcquire(holders, tried); s != nil {
+			return r.localPlace(s), nil
+		}
+		anyUsable, anyWarm := usable(holders, tried)
+		switch {
+		case !anyUsable && !(q.Patient && len(tried) == 0):
+			return nil, ErrNoServer
+		case !anyUsable:
+			pause(ctx, reconnectWait)
+		case !anyWarm:
+			if p := r.remotePlace(ctx, q, holders, tried); p != nil {
+				return p, nil
+			}
+			fallthrough
+		default:
+			p, err := r.queuedPlace(ctx, q, holders, tried, service)
+			if p != nil || err != nil && !errors.Is(err, context.DeadlineExceeded) {
+				return p, err
+			}
+		}
+	}
+	return nil, ctx.Err()
+}
+
+// queuedPlace waits for at most a slice of time in the service's queue.
+func (r *Runner) queuedPlace(ctx context.Context, q *Request, holders, tried []*blackboard.Server, service string) (*place, error) {
+	slice, cancel := context.WithTimeout(ctx, waitSlice)
+	defer cancel()
+	w := &waiter{
+		holders: holders, tried: tried, class: q.Class, deadline: q.Deadline,
+		granted: make(chan *blackboard.Server, 1),
+	}
+	s, err := r.queues.of(service).wait(slice, w)
+	if err != nil {
+		return nil, err
+	}
+	return r.localPlace(s), nil
+}
+
+// remotePlace asks the owner of a cold holder for a place.
+func (r *Runner) remotePlace(ctx context.Context, q *Request, holders, tried []*blackboard.Server) *place {
+	for _, s := range holders {
+		if !s.Usable() || s.Owned() || slices.Contains(tried, s) {
+			continue
+		}
+		boot := s.BootID.Load()
+		p, err := r.Permit(ctx, s, boot, q.Class)
+		if err != nil || boot == 0 {
+			continue
+		}
+		if p.Warm && p.BootID == boot {
+			s.WarmBootID.Store(boot)
+		}
+		if p.Granted {
+			return &place{server: s, cold: true, release: p.Release}
+		}
+	}
+	return nil
+}
+
+// localPlace wraps a place that was taken on this instance's own limit.
+func (r *Runner) localPlace(s *blackboard.Server) *place {
+	boot := s.BootID.Load()
+	return &place{server: s, cold: !s.Warm(), release: func(proven bool) {
+		if proven && s.BootID.Load() == boot {
+			s.Proven.Add(1)
+		}
+		s.InFlight.Add(-1)
+		r.Wake(s)
+	}}
+}
+
+// Admit takes a place on a cold server for another instance. It answers at
+// once that the server is warm, or waits until there is room.
+func (r *Runner) Admit(ctx context.Context, s *blackboard.Server, boot uint64, class blackboard.Class) Permit {
+	if s.BootID.Load() != boot {
+		s.Refresh()
+		return Permit{}
+	}
+	if s.Warm() {
+		return Permit{Warm: true, BootID: boot}
+	}
+	if !s.Owned() {
+		return Permit{}
+	}
+	deadline, _ := ctx.Deadline()
+	w := &waiter{
+		holders: []*blackboard.Server{s}, class: class, deadline: deadline,
+		granted: make(chan *blackboard.Server, 1),
+	}
+	if _, err := r.queues.of(s.Service).wait(ctx, w); err != nil {
+		return Permit{}
+	}
+	p := r.localPlace(s)
+	return Permit{Granted: true, BootID: boot, Release: p.release}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/lentilward/backend/runner.go
@@ -0,0 +1,188 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"lentilward.org/lentilward/blackboard"
+)
+
+const (
+	// maxAttempts bounds the attempts at one shard.
+	maxAttempts = 4
+	// freeRetries is the number of retries per shard that cost no budget.
+	freeRetries = 1
+)
+
+// Runner runs the tasks of requests.
+type Runner struct {
+	instance string
+	policy   Policy
+	log      *slog.Logger
+	queues   *queues
+	// Permit asks the owner of a cold server for a place.
+	Permit func(ctx context.Context, s *blackboard.Server, boot uint64, class blackboard.Class) (Permit, error)
+}
+
+// New returns a runner whose queues are served until the context ends.
+func New(ctx context.Context, instance string, policy Policy, log *slog.Logger) *Runner {
+	return &Runner{
+		instance: instance,
+		policy:   policy,
+		log:      log,
+		queues:   &queues{ctx: ctx},
+		Permit: func(context.Context, *blackboard.Server, uint64, blackboard.Class) (Permit, error) {
+			return Permit{}, ErrNoServer
+		},
+	}
+}
+
+// Wake tells the queue of a server's service that the server may have room.
+func (r *Runner) Wake(s *blackboard.Server) {
+	r.queues.of(s.Service).wake(s)
+}
+
+// ExpectedWait estimates how long a new task of a class waits for a server of
+// the service.
+func (r *Runner) ExpectedWait(routes *blackboard.ServiceRoutes, class blackboard.Class) time.Duration {
+	if r.policy.Plain {
+		return 0
+	}
+	ahead := r.queues.of(routes.Service.Name).ahead(class)
+	if ahead == 0 {
+		return 0
+	}
+	var places int64
+	for _, s := range routes.Servers {
+		if s.Usable() {
+			places += int64(s.Limit.Load())
+		}
+	}
+	return time.Duration(routes.State.Typical.Load() * ahead / max(1, places))
+}
+
+// Run searches one shard. It hedges an attempt that takes longer than most,
+// and repeats one that failed while that is safe and within bounds.
+func (r *Runner) Run(ctx context.Context, q *Request, t Task) Result {
+	if r.policy.Plain {
+		return r.runPlain(ctx, q, t)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := shardRun{runner: r, request: q, task: t, done: make(chan outcome, maxAttempts)}
+	return s.run(ctx)
+}
+
+// shardRun is the state of one task.
+type shardRun struct {
+	runner   *Runner
+	request  *Request
+	task     Task
+	tried    []*blackboard.Server
+	done     chan outcome
+	inFlight int
+	lastErr  error
+}
+
+func (s *shardRun) run(ctx context.Context) Result {
+	if err := s.attempt(ctx); err != nil {
+		return s.failed(err)
+	}
+	s.task.Routes.State.Budget.Earn(s.task.Routes.Service.HedgeBudget)
+	hedge := time.NewTimer(time.Duration(s.task.Routes.State.HedgeDelay.Load()))
+	defer hedge.Stop()
+	for {
+		select {
+		case o := <-s.done:
+			s.inFlight--
+			if o.err == nil {
+				return Result{Shard: s.task.Shard, Reply: o.reply}
+			}
+			s.lastErr = o.err
+			if s.inFlight > 0 {
+				continue
+			}
+			if err := s.retry(ctx); err != nil {
+				return s.failed(err)
+			}
+		case <-hedge.C:
+			s.hedge(ctx)
+		case <-ctx.Done():
+			return s.failed(ctx.Err())
+		}
+	}
+}
+
+// attempt waits for a place and starts a call.
+func (s *shardRun) attempt(ctx context.Context) error {
+	holders := s.task.Version.Holders[s.task.Shard]
+	p, err := s.runner.acquire(ctx, s.request, holders, s.tried, s.task.Routes.Service.Name)
+	if err != nil {
+		return err
+	}
+	s.start(ctx, p)
+	return nil
+}
+
+func (s *shardRun) start(ctx context.Context, p *place) {
+	s.tried = append(s.tried, p.server)
+	s.inFlight++
+	s.runner.start(ctx, s.request, s.task, p, s.done)
+}
+
+// hedge starts a second call if another holder has room at once and the
+// budget allows it.
+func (s *shardRun) hedge(ctx context.Context) {
+	if s.inFlight != 1 || len(s.tried) >= maxAttempts || s.request.Careful {
+		return
+	}
+	server := tryAcquire(s.task.Version.Holders[s.task.Shard], s.tried)
+	if server == nil {
+		return
+	}
+	p := s.runner.localPlace(server)
+	if p.cold || !s.task.Routes.State.Budget.Spend() {
+		p.release(false)
+		return
+	}
+	s.request.hedges.Add(1)
+	s.start(ctx, p)
+}
+
+// retry starts another call after all others have failed.
+func (s *shardRun) retry(ctx context.Context) error {
+	n := len(s.tried)
+	if n >= maxAttempts || errors.Is(s.lastErr, ErrLost) && !s.request.mayRepeatLost() {
+		return s.lastErr
+	}
+	if n > freeRetries && !errors.Is(s.lastErr, ErrRefused) && !s.task.Routes.State.Budget.Spend() {
+		return s.lastErr
+	}
+	if err := s.attempt(ctx); err != nil {
+		if errors.Is(err, ErrNoServer) {
+			return s.lastErr
+		}
+		return err
+	}
+	return nil
+}
+
+func (s *shardRun) failed(err error) Result {
+	return Result{Shard: s.task.Shard, Err: err}
+}
+
+// runPlain calls one holder, the next in turn.
+func (r *Runner) runPlain(ctx context.Context, q *Request, t Task) Result {
+	holders := t.Version.Holders[t.Shard]
+	if len(holders) == 0 {
+		return Result{Shard: t.Shard, Err: ErrNoServer}
+	}
+	s := holders[rand.IntN(len(holders))]
+	s.InFlight.Add(1)
+	defer s.InFlight.Add(-1)
+	reply, err := r.call(ctx, q, t, s, q.attempts.Add(1))
+	return Result{Shard: t.Shard, Reply: reply, Err: err}
+}
--- /dev/null
+++ b/lentilward/blackboard/server.go
@@ -0,0 +1,191 @@
+package blackboard
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"lentilward.org/schema/backendpb"
+)
+
+// Server is the state of one backend server as this instance sees it. All
+// fields that change are atomic.
+type Server struct {
+	Address    netip.AddrPort
+	Service    string
+	DataCentre string
+	Client     backendpb.BackendClient
+	// Refresh asks for a new status of the server soon.
+	Refresh func()
+
+	// Slots, ColdLimit and WarmRuns follow the configuration.
+	Slots     atomic.Int32
+	ColdLimit atomic.Int32
+	WarmRuns  atomic.Int32
+
+	// InFlight counts requests that this instance has on the server, and on
+	// the owner of a cold server those that it admitted for others.
+	InFlight atomic.Int32
+	// Limit bounds InFlight.
+	Limit atomic.Int32
+	// OutOfService is set while the server may get no new work: withdrawn,
+	// draining or removed.
+	OutOfService atomic.Bool
+	// Connected is set while the connection is up.
+	Connected atomic.Bool
+	// BootID is the process of the server last heard of; 0 while unknown.
+	BootID atomic.Uint64
+	// WarmBootID is the process that has proved to bear its full load.
+	WarmBootID atomic.Uint64
+	// Proven counts replies since the cold start.
+	Proven atomic.Int32
+	// OwnedUntil is until when this instance admits for the cold server, on
+	// the clock of Monotonic; 0 if it does not.
+	OwnedUntil atomic.Int64
+
+	latency atomic.Int64
+	// floor is the reply time without a queue, in nanoseconds.
+	floor atomic.Int64
+	// saturated is set when the limit was reached.
+	saturated atomic.Bool
+	// lastSample is when latency was last updated, in nanoseconds since 1970.
+	lastSample atomic.Int64
+}
+
+// latencyWeight is the inverse of the weight of a new sample.
+const latencyWeight = 4
+
+// Observe adds a reply time to the moving average.
+func (s *Server) Observe(d time.Duration, now time.Time) {
+	s.lastSample.Store(now.UnixNano())
+	for {
+		old := s.latency.Load()
+		next := old + (int64(d)-old)/latencyWeight
+		if old == 0 {
+			next = int64(d)
+		}
+		if s.latency.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// ObserveAtLeast adds the time of a request that was given up, if it is longer
+// than the average.
+func (s *Server) ObserveAtLeast(d time.Duration, now time.Time) {
+	if int64(d) > s.latency.Load() {
+		s.Observe(d, now)
+	}
+}
+
+// Latency returns the moving average of reply times; 0 if there was no reply.
+func (s *Server) Latency() time.Duration {
+	return time.Duration(s.latency.Load())
+}
+
+// Forget moves the average a quarter of the way to typical if there was no
+// reply for a while, so that a server that was slow is tried again.
+func (s *Server) Forget(typical time.Duration, now time.Time, after time.Duration) {
+	if now.UnixNano()-s.lastSample.Load() < int64(after) {
+		return
+	}
+	old := s.latency.Load()
+	if old > int64(typical) {
+		s.latency.CompareAndSwap(old, old-(old-int64(typical))/latencyWeight)
+	}
+}
+
+// TryAcquire takes one place within the limit.
+func (s *Server) TryAcquire() bool {
+	for {
+		n := s.InFlight.Load()
+		if s.OutOfService.Load() {
+			return false
+		}
+		if n >= s.Limit.Load() {
+			s.saturated.Store(true)
+			return false
+		}
+		if s.InFlight.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+// Warm tells whether the server bears its full load.
+func (s *Server) Warm() bool {
+	boot := s.BootID.Load()
+	return boot != 0 && boot == s.WarmBootID.Load()
+}
+
+// SetBoot notes the process that the server runs; another one is cold.
+func (s *Server) SetBoot(id uint64) {
+	if s.BootID.Swap(id) == id {
+		return
+	}
+	s.Proven.Store(0)
+	if id != s.WarmBootID.Load() {
+		s.Limit.Store(0)
+	}
+}
+
+// Owned tells whether this instance may admit to the cold server now.
+func (s *Server) Owned() bool {
+	return Monotonic() < s.OwnedUntil.Load()
+}
+
+// Usable tells whether the server may get new work at all.
+func (s *Server) Usable() bool {
+	return !s.OutOfService.Load() && s.Connected.Load()
+}
+
+const (
+	// queueRatio is the reply time over the floor that shows a queue.
+	queueRatio = 1.7
+	// freeRatio is the reply time over the floor that shows none.
+	freeRatio = 1.35
+	// floorGrowth lets the floor follow a server that became slower.
+	floorGrowth = 1.01
+)
+
+// Adapt moves the limit of a warm server by one step between least and the
+// slots: up while a full limit causes no queue on the server, down when
+// replies take much longer than without one.
+func (s *Server) Adapt(least int32) {
+	latency := float64(s.latency.Load())
+	floor := float64(s.floor.Load())
+	if latency > 0 && (floor == 0 || latency < floor) {
+		floor = latency
+	}
+	s.floor.Store(int64(floor * floorGrowth))
+	saturated := s.saturated.Swap(false)
+	limit := s.Limit.Load()
+	switch {
+	case latency > floor*queueRatio:
+		limit--
+	case saturated && latency < floor*freeRatio:
+		limit++
+	}
+	s.Limit.Store(min(max(limit, least), max(s.Slots.Load(), least)))
+}
+
+var processStart = time.Now()
+
+// Monotonic is the time since the process started, in nanoseconds. A change
+// of the wall clock does not move it.
+func Monotonic() int64 {
+	return int64(time.Since(processStart))
+}
+
+// State describes the server in a word.
+func (s *Server) State() string {
+	switch {
+	case s.OutOfService.Load():
+		return "out-of-service"
+	case !s.Connected.Load():
+		return "lost"
+	case s.Warm():
+		return "warm"
+	}
+	return "cold"
+}
--- /dev/null
+++ b/lentilward/caller/admission.go
@@ -0,0 +1,140 @@
+package caller
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/schema/callerpb"
+)
+
+const (
+	maxRequestID   = 64
+	maxCallerName  = 64
+	maxQuery       = 4096
+	maxPayload     = 1 << 20
+	maxServices    = 4096
+	largestTimeout = time.Minute
+	defaultTimeout = time.Second
+	// answerMargin is kept from the deadline for sending the answer.
+	answerMargin = 2 * time.Millisecond
+	allServices  = "*"
+)
+
+// requestKey names a request in flight.
+type requestKey struct {
+	caller string
+	id     string
+}
+
+// admission checks requests before anything is run for them.
+type admission struct {
+	board    *blackboard.Board
+	inFlight sync.Map
+}
+
+// enter refuses a request that is malformed, in flight already or comes while
+// the instance does not serve. Leave must be called at the request's end.
+func (a *admission) enter(caller, id string) (leave func(), _ *refusal) {
+	if id == "" || len(id) > maxRequestID {
+		return nil, notRun(callerpb.Reason_REASON_INVALID, "request-id: want 1 to %d bytes", maxRequestID)
+	}
+	if caller == "" || len(caller) > maxCallerName {
+		return nil, notRun(callerpb.Reason_REASON_INVALID, "caller: want 1 to %d bytes", maxCallerName)
+	}
+	switch a.board.Own.Load().Phase {
+	case blackboard.Starting:
+		return nil, notRun(callerpb.Reason_REASON_NOT_READY, "instance has no configuration yet")
+	case blackboard.Stopping:
+		return nil, notRun(callerpb.Reason_REASON_STOPPING, "instance is stopping; use another one")
+	}
+	key := requestKey{caller, id}
+	if _, exists := a.inFlight.LoadOrStore(key, true); exists {
+		return nil, notRun(callerpb.Reason_REASON_DUPLICATE, "request %q is in flight", id)
+	}
+	return func() { a.inFlight.Delete(key) }, nil
+}
+
+// deadline returns when the answer is due, from the request or from the RPC.
+func deadline(ctx context.Context, ms int64, now time.Time) (time.Time, *refusal) {
+	due := now.Add(defaultTimeout)
+	rpc, bounded := ctx.Deadline()
+	switch {
+	case ms < 0 || bounded && !rpc.After(now):
+		return due, notRun(callerpb.Reason_REASON_DEADLINE, "deadline has passed")
+	case ms > 0:
+		due = now.Add(min(time.Duration(ms)*time.Millisecond, largestTimeout))
+	case bounded:
+		due = rpc
+	}
+	if bounded && rpc.Before(due) {
+		due = rpc
+	}
+	return due.Add(-answerMargin), nil
+}
+
+// class returns the class of a request.
+func class(c callerpb.Class) (blackboard.Class, *refusal) {
+	switch c {
+	case callerpb.Class_CLASS_UNSPECIFIED, callerpb.Class_CLASS_INTERACTIVE:
+		return blackboard.Interactive, nil
+	case callerpb.Class_CLASS_URGENT:
+		return blackboard.Urgent, nil
+	case callerpb.Class_CLASS_BACKGROUND:
+		return blackboard.Background, nil
+	}
+	return 0, notRun(callerpb.Reason_REASON_INVALID, "unknown class %d", c)
+}
+
+// selectServices returns the routes of the named services, each once.
+func selectServices(routes *blackboard.Routes, names []string) ([]*blackboard.ServiceRoutes, *refusal) {
+	if len(names) == 0 || len(names) > maxServices {
+		return nil, notRun(callerpb.Reason_REASON_INVALID, "services: want 1 to %d names", maxServices)
+	}
+	if slices.Contains(names, allServices) {
+		names = names[:0:0]
+		for name := range routes.Services {
+			names = append(names, name)
+		}
+		if len(names) == 0 {
+			return nil, notRun(callerpb.Reason_REASON_UNKNOWN_SERVICE, "there are no services")
+		}
+	}
+	names = slices.Compact(slices.Sorted(slices.Values(names)))
+	selected := make([]*blackboard.ServiceRoutes, 0, len(names))
+	for _, name := range names {
+		r := routes.Services[name]
+		if r == nil {
+			return nil, notRun(callerpb.Reason_REASON_UNKNOWN_SERVICE, "unknown service %q", name)
+		}
+		selected = append(selected, r)
+	}
+	return selected, nil
+}
+
+// limit counts a request towards the limits of its services. Leave must be
+// called at the request's end.
+func limit(services []*blackboard.ServiceRoutes, caller string, class blackboard.Class) (leave func(), _ *refusal) {
+	var taken []func()
+	leave = func() {
+		for _, give := range taken {
+			give()
+		}
+	}
+	for _, r := range services {
+		for i, l := range r.Service.Limits {
+			if l.Caller != "" && l.Caller != caller || l.Class != "" && l.Class != class.String() {
+				continue
+			}
+			count := &r.State.InFlight[i]
+			taken = append(taken, func() { count.Add(-1) })
+			if count.Add(1) > int32(l.InFlight) {
+				leave()
+				return nil, notRun(callerpb.Reason_REASON_LIMITED, "service %q: limit of %d in flight reached", r.Service.Name, l.InFlight)
+			}
+		}
+	}
+	return leave, nil
+}
--- /dev/null
+++ b/lentilward/fleet/tuner.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"time"
+
+	"lentilward.org/lentilward/blackboard"
+)
+
+const (
+	// firstHedgeDelay is used until enough replies were seen.
+	firstHedgeDelay = 100 * time.Millisecond
+	// leastHedgeDelay keeps hedges away from ordinary jitter.
+	leastHedgeDelay = 2 * time.Millisecond
+	// hedgeQuantile is the share of attempts that end before the hedge.
+	hedgeQuantile = 0.95
+	// hedgeSamples is the number of replies that a quantile needs.
+	hedgeSamples = 50
+	// decaySamples is the number of replies at which the histogram is halved.
+	decaySamples = 2000
+	// forgetAfter is how long a server's latency counts without replies.
+	forgetAfter = 500 * time.Millisecond
+	// adaptTicks is the number of tunings between two steps of a limit.
+	adaptTicks = 5
+	// defaultWarmRuns is the number of replies that prove a server warm, where
+	// its configuration names none.
+	defaultWarmRuns = 30
+	// takeoverDelay is how long a new owner of cold servers waits, so that
+	// what the old one admitted has ended.
+	takeoverDelay = 2 * time.Second
+	// ownership is how long an ownership holds without renewal. It ends well
+	// before another instance takes over.
+	ownership = 500 * time.Millisecond
+)
+
+// tune adjusts delays, limits and ownership.
+func (f *Fleet) tune(now time.Time) {
+	f.ticks++
+	members := f.board.Members.Load()
+	for _, r := range f.board.Routes.Load().Services {
+		tuneService(r.State)
+		for _, s := range r.Servers {
+			s.Forget(time.Duration(r.State.Typical.Load()), now, forgetAfter)
+			f.tuneServer(s, members, now)
+		}
+	}
+}
+
+func tuneService(s *blackboard.ServiceState) {
+	q, n := s.Latencies.Quantiles(0.5, hedgeQuantile)
+	if n < hedgeSamples {
+		return
+	}
+	s.Typical.Store(int64(q[0]))
+	s.HedgeDelay.Store(int64(max(q[1], leastHedgeDelay)))
+	if n > decaySamples {
+		s.Latencies.Decay()
+	}
+}
+
+// tuneServer sets the limit of one server: a share of its slots if it is warm,
+// the cold ramp if this instance owns it, none otherwise.
+func (f *Fleet) tuneServer(s *blackboard.Server, members *blackboard.Members, now time.Time) {
+	if !s.Warm() {
+		f.tuneCold(s, members, now)
+		return
+	}
+	live := int32(max(1, members.Live()))
+	least := (s.Slots.Load() + live - 1) / live
+	if s.Limit.Load() < least {
+		s.Limit.Store(least)
+		f.Wake(s)
+	}
+	if f.ticks%adaptTicks == 0 {
+		s.Adapt(least)
+	}
+}
+
+// tuneCold renews or ends ownership and grows the limit with proven replies.
+func (f *Fleet) tuneCold(s *blackboard.Server, members *blackboard.Members, now time.Time) {
+	owner, found := members.Owner(s.Address.String())
+	owns := found && owner.Name == members.Self && members.Majority() && now.Sub(members.Changed) > takeoverDelay
+	boot := s.BootID.Load()
+	if !owns || boot == 0 {
+		s.OwnedUntil.Store(0)
+		s.Limit.Store(0)
+		return
+	}
+	s.OwnedUntil.Store(blackboard.Monotonic() + int64(ownership))
+	needed := s.WarmRuns.Load()
+	if needed == 0 {
+		needed = defaultWarmRuns
+	}
+	if s.Proven.Load() >= needed {
+		s.WarmBootID.Store(boot)
+		f.log.Info("backend server is warm", "service", s.Service, "address", s.Address)
+	}
+	if s.Limit.Swap(s.ColdLimit.Load()) != s.ColdLimit.Load() {
+		f.Wake(s)
+	}
+}
--- /dev/null
+++ b/lentilward/fleet/warmth.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"lentilward.org/lentilward/blackboard"
+)
+
+const (
+	// warmthTicks is the number of tunings between two questions to peers.
+	warmthTicks = 3
+	// warmthTimeout bounds such a question.
+	warmthTimeout = 300 * time.Millisecond
+	// maxWarmthQuestion bounds the servers asked about at once.
+	maxWarmthQuestion = 256
+)
+
+// Warmth says which process of a server is known to bear its full load.
+type Warmth struct {
+	Address netip.AddrPort `cbor:"address"`
+	BootID  uint64         `cbor:"boot-id"`
+}
+
+// learnWarmth asks peers about servers that are cold to this instance, which
+// others may have seen warm. A process that one instance proved is warm for
+// all.
+func (f *Fleet) learnWarmth(ctx context.Context) {
+	var question []Warmth
+	for _, s := range f.board.Routes.Load().Servers {
+		if boot := s.BootID.Load(); boot != 0 && s.Usable() && !s.Warm() && len(question) < maxWarmthQuestion {
+			question = append(question, Warmth{s.Address, boot})
+		}
+	}
+	if len(question) == 0 || !f.asking.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer f.asking.Store(false)
+		ctx, cancel := context.WithTimeout(ctx, warmthTimeout)
+		defer cancel()
+		f.note(f.AskWarmth(ctx, question))
+	}()
+}
+
+// note takes in what peers know.
+func (f *Fleet) note(warm []Warmth) {
+	servers := f.board.Routes.Load().Servers
+	for _, w := range warm {
+		if s := servers[w.Address]; s != nil && w.BootID != 0 && s.BootID.Load() == w.BootID {
+			s.WarmBootID.Store(w.BootID)
+		}
+	}
+}
+
+// KnownWarm returns those of the servers that are warm here.
+func KnownWarm(routes *blackboard.Routes, question []Warmth) []Warmth {
+	var warm []Warmth
+	for _, q := range question {
+		if s := routes.Servers[q.Address]; s != nil && s.Warm() && s.BootID.Load() == q.BootID {
+			warm = append(warm, q)
+		}
+	}
+	return warm
+}
--- /dev/null
+++ b/lentilward/main.go
@@ -0,0 +1,57 @@
+// Command lentilward is one instance of the query tier between callers and
+// backend servers. All instances are alike.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/samber/do/v2"
+)
+
+func main() {
+	app := kingpin.New("lentilward", "One instance of the query tier.")
+	run := app.Command("run", "Run the instance.").Default()
+	runFile := run.Flag("settings", "Settings file.").Short('s').Required().String()
+	check := app.Command("check", "Check a settings file and exit.")
+	checkFile := check.Arg("file", "Settings file.").Required().String()
+
+	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+	path := *runFile
+	if command == check.FullCommand() {
+		path = *checkFile
+	}
+	options, err := parseOptions(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lentilward:", err)
+		os.Exit(exitSettings)
+	}
+	if command == check.FullCommand() {
+		return
+	}
+	if err := serve(options); err != nil {
+		fmt.Fprintln(os.Stderr, "lentilward:", err)
+		os.Exit(exitFailure)
+	}
+}
+
+// serve runs the instance until SIGTERM, then stops it gracefully. A second
+// signal changes nothing, since work is still in flight.
+func serve(options *Options) error {
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	injector := do.New()
+	do.ProvideValue(injector, options)
+	provide(injector, life)
+	core, err := do.Invoke[*Core](injector)
+	if err != nil {
+		return err
+	}
+	return core.Run(life, stop)
+}
--- /dev/null
+++ b/lentilward/member/table.go
@@ -0,0 +1,221 @@
+// Package member keeps each instance's view of the others by probes of a few
+// random members, on which news rides.
+package member
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"lentilward.org/lentilward/blackboard"
+)
+
+const (
+	// newsPerMessage bounds the members that one message tells about.
+	newsPerMessage = 6
+	// newsRepeats is how often one piece of news is told.
+	newsRepeats = 8
+	// suspectTimeout is how long a suspected member has to refute.
+	suspectTimeout = 1500 * time.Millisecond
+	// leaveTimeout is how long a member that left is remembered.
+	leaveTimeout = 30 * time.Second
+	// deadTimeout is how long a dead member counts towards a majority.
+	deadTimeout = time.Minute
+)
+
+// Gossip is what rides on a probe and on its answer.
+type Gossip struct {
+	From blackboard.Member   `cbor:"from"`
+	News []blackboard.Member `cbor:"news"`
+}
+
+// Table is the writer of the Members cell.
+type Table struct {
+	board *blackboard.Board
+	now   func() time.Time
+
+	mu      sync.Mutex
+	self    blackboard.Member
+	members map[string]*entry
+	changed time.Time
+}
+
+type entry struct {
+	blackboard.Member
+	repeats int
+}
+
+// NewTable returns a table that knows only this instance.
+func NewTable(board *blackboard.Board, self blackboard.Member, now func() time.Time) *Table {
+	t := &Table{board: board, now: now, self: self, members: make(map[string]*entry), changed: now()}
+	t.publish()
+	return t
+}
+
+// Self returns this instance as it tells others.
+func (t *Table) Self() blackboard.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.describe()
+}
+
+func (t *Table) describe() blackboard.Member {
+	self := t.self
+	self.Revision = t.board.Config.Load().Revision
+	return self
+}
+
+// Leave tells others that this instance stops.
+func (t *Table) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.State = blackboard.Leaving
+	t.self.Incarnation++
+	t.publish()
+}
+
+// Gossip returns what to tell next.
+func (t *Table) Gossip() Gossip {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := make([]*entry, 0, len(t.members))
+	for _, e := range t.members {
+		if e.repeats < newsRepeats {
+			news = append(news, e)
+		}
+	}
+	slices.SortFunc(news, func(a, b *entry) int { return cmp.Compare(a.repeats, b.repeats) })
+	g := Gossip{From: t.describe()}
+	for _, e := range news[:min(len(news), newsPerMessage)] {
+		e.repeats++
+		g.News = append(g.News, e.Member)
+	}
+	if e := t.random(); e != nil && len(news) < newsPerMessage {
+		g.News = append(g.News, e.Member)
+	}
+	return g
+}
+
+// random returns any member, so that lost news is repaired in time.
+func (t *Table) random() *entry {
+	if len(t.members) == 0 {
+		return nil
+	}
+	skip := rand.IntN(len(t.members))
+	for _, e := range t.members {
+		if skip == 0 {
+			return e
+		}
+		skip--
+	}
+	return nil
+}
+
+// Receive takes in what another member told, which was heard from directly.
+func (t *Table) Receive(g Gossip) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.merge(g.From)
+	if e := t.members[g.From.Name]; e != nil {
+		e.Heard = t.now()
+		e.Revision = max(e.Revision, g.From.Revision)
+	}
+	for _, m := range g.News {
+		t.merge(m)
+	}
+	t.publish()
+}
+
+// merge takes in one piece of news if it is newer than what is known.
+func (t *Table) merge(m blackboard.Member) {
+	if m.Name == t.self.Name {
+		t.refute(m)
+		return
+	}
+	e := t.members[m.Name]
+	if e == nil {
+		if m.State == blackboard.Dead {
+			return
+		}
+		e = &entry{Member: m}
+		e.Since = t.now()
+		e.Heard = t.now()
+		t.members[m.Name] = e
+		t.changed = t.now()
+		return
+	}
+	e.Revision = max(e.Revision, m.Revision)
+	if m.Incarnation < e.Incarnation || m.Incarnation == e.Incarnation && m.State <= e.State {
+		return
+	}
+	t.set(e, m)
+}
+
+func (t *Table) set(e *entry, m blackboard.Member) {
+	before, heard := e.State, e.Heard
+	restarted := m.Incarnation != e.Incarnation && m.State == blackboard.Alive && before > blackboard.Suspected
+	revision := max(e.Revision, m.Revision)
+	e.Member = m
+	e.Heard = heard
+	e.Revision = revision
+	e.Since = t.now()
+	e.repeats = 0
+	if before != m.State && m.State > blackboard.Suspected || restarted {
+		t.changed = t.now()
+	}
+}
+
+// refute answers news that this instance is gone with a higher incarnation.
+func (t *Table) refute(m blackboard.Member) {
+	if m.State == blackboard.Alive || m.Incarnation < t.self.Incarnation {
+		return
+	}
+	if t.self.State != blackboard.Leaving {
+		t.self.Incarnation = m.Incarnation + 1
+	}
+}
+
+// Suspect notes that a member does not answer.
+func (t *Table) Suspect(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.members[name]; e != nil && e.State == blackboard.Alive {
+		m := e.Member
+		m.State = blackboard.Suspected
+		t.set(e, m)
+		t.publish()
+	}
+}
+
+// Expire moves members on whose time has passed.
+func (t *Table) Expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for name, e := range t.members {
+		age := now.Sub(e.Since)
+		switch {
+		case e.State == blackboard.Suspected && age > suspectTimeout:
+			m := e.Member
+			m.State = blackboard.Dead
+			t.set(e, m)
+		case e.State == blackboard.Leaving && age > leaveTimeout,
+			e.State == blackboard.Dead && age > deadTimeout:
+			delete(t.members, name)
+		}
+	}
+	t.publish()
+}
+
+// publish writes the Members cell. The caller holds mu.
+func (t *Table) publish() {
+	view := &blackboard.Members{Self: t.self.Name, Changed: t.changed}
+	view.List = append(view.List, t.describe())
+	for _, e := range t.members {
+		view.List = append(view.List, e.Member)
+	}
+	slices.SortFunc(view.List, func(a, b blackboard.Member) int { return cmp.Compare(a.Name, b.Name) })
+	t.board.Members.Store(view)
+}
--- /dev/null
+++ b/lentilward/monitor/server.go
@@ -0,0 +1,97 @@
+package monitor
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lentilward.org/lentilward/blackboard"
+)
+
+// version is that of the HTTP interface.
+const version = "1.0.0"
+
+// Handler serves /healthz, /readyz, /status and /metrics.
+func Handler(board *blackboard.Board, metrics *Metrics) http.Handler {
+	mux := http.NewServeMux()
+	api := humago.New(mux, huma.DefaultConfig("lentilward", version))
+	huma.Get(api, "/healthz", func(context.Context, *struct{}) (*health, error) {
+		return newHealth("alive"), nil
+	})
+	huma.Get(api, "/readyz", func(context.Context, *struct{}) (*health, error) {
+		phase := board.Own.Load().Phase
+		if phase != blackboard.Serving {
+			return nil, huma.Error503ServiceUnavailable(phase.String())
+		}
+		return newHealth(phase.String()), nil
+	})
+	huma.Get(api, "/status", func(context.Context, *struct{}) (*status, error) {
+		return newStatus(board), nil
+	})
+	mux.Handle("/metrics", promhttp.HandlerFor(metrics.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// health is the reply of the health checks.
+type health struct {
+	Body struct {
+		State string `json:"state"`
+	}
+}
+
+func newHealth(state string) *health {
+	h := &health{}
+	h.Body.State = state
+	return h
+}
+
+// status is the JSON view of the blackboard.
+type status struct {
+	Body struct {
+		Instance       string         `json:"instance"`
+		DataCentre     string         `json:"data-centre"`
+		Phase          string         `json:"phase"`
+		ConfigRevision uint64         `json:"config-revision"`
+		Members        []memberStatus `json:"members"`
+		Servers        []serverStatus `json:"backend-servers"`
+	}
+}
+
+type memberStatus struct {
+	Name           string `json:"name"`
+	State          string `json:"state"`
+	ConfigRevision uint64 `json:"config-revision"`
+}
+
+type serverStatus struct {
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	State    string `json:"state"`
+	InFlight int32  `json:"in-flight"`
+	Limit    int32  `json:"limit"`
+	Latency  string `json:"latency"`
+}
+
+func newStatus(board *blackboard.Board) *status {
+	own := board.Own.Load()
+	s := &status{}
+	s.Body.Instance = own.Name
+	s.Body.DataCentre = own.DataCentre
+	s.Body.Phase = own.Phase.String()
+	s.Body.ConfigRevision = board.Config.Load().Revision
+	for _, m := range board.Members.Load().List {
+		s.Body.Members = append(s.Body.Members, memberStatus{m.Name, m.State.String(), m.Revision})
+	}
+	for _, r := range board.Routes.Load().Services {
+		for _, b := range r.Servers {
+			s.Body.Servers = append(s.Body.Servers, serverStatus{
+				Service: b.Service, Address: b.Address.String(), State: b.State(),
+				InFlight: b.InFlight.Load(), Limit: b.Limit.Load(), Latency: b.Latency().String(),
+			})
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,102 @@
+# Functions that start and stop the stand-ins and 4 instances as plain
+# processes. The caller sets RUN (a folder), SITE, SEED and POLICY.
+#
+# Each instance runs under a loop that starts it again while RUN/stop does not
+# exist, as the platform replaces instances.
+
+INSTANCES="1 2 3 4"
+
+data_centre() { # number of the instance
+	sed -n 's/^data-centres = \[\(.*\)\]/\1/p' "sites/$SITE.toml" | tr -d '" ' | cut -d, -f$((($1 - 1) % 3 + 1))
+}
+
+instance_settings() { # number of the instance
+	cat <<-END
+		name = "instance-$1"
+		data-centre = "$(data_centre "$1")"
+
+		[listen]
+		callers = "127.0.0.1:1800$1"
+		operators = "127.0.0.1:1810$1"
+		peers = "127.0.0.1:1820$1"
+		monitor = "127.0.0.1:1830$1"
+
+		[platform]
+		address = "127.0.0.1:19000"
+
+		[policy]
+		fan-out = "${POLICY:-guarded}"
+	END
+}
+
+keep_instance() { # number of the instance
+	while [ ! -e "$RUN/stop" ]; do
+		bin/lentilward run --settings "$RUN/instance-$1.toml" 2>>"$RUN/instance-$1.log" &
+		echo $! >"$RUN/instance-$1.pid"
+		wait $!
+		sleep 0.5
+	done
+}
+
+start_cluster() {
+	mkdir -p "$RUN"
+	rm -f "$RUN/stop"
+	list=""
+	for i in $INSTANCES; do
+		instance_settings "$i" >"$RUN/instance-$i.toml"
+		list="$list --instance=instance-$i=127.0.0.1:1820$i,$(data_centre "$i")"
+	done
+	bin/lentilstand run "sites/$SITE.toml" --seed "${SEED:-1}" $list 2>"$RUN/stand.log" &
+	echo $! >"$RUN/stand.pid"
+	for i in $INSTANCES; do
+		keep_instance "$i" &
+		echo $! >>"$RUN/keepers"
+	done
+	export LENTILWARD_CALLERS LENTILWARD_OPERATORS
+	LENTILWARD_CALLERS=$(printf '127.0.0.1:1800%s\n' $INSTANCES)
+	LENTILWARD_OPERATORS=$(printf '127.0.0.1:1810%s\n' $INSTANCES)
+	wait_for_port 19000
+	for i in $INSTANCES; do
+		wait_for_port 1810$i
+	done
+}
+
+wait_for_port() { # port
+	for _ in $(seq 100); do
+		if (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; then
+			return 0
+		fi
+		sleep 0.1
+	done
+	echo "nothing listens on port $1; see the logs in $RUN" >&2
+	return 1
+}
+
+create_services() {
+	bin/lentilstand services "sites/$SITE.toml" >"$RUN/services.toml"
+	bin/lentilctl service create "$RUN/services.toml" --change-id "site-$SITE" --author setup
+}
+
+wait_until_ready() {
+	for i in $INSTANCES; do
+		for _ in $(seq 150); do
+			if grep -qs 'phase=serving' "$RUN/instance-$i.log"; then
+				break
+			fi
+			sleep 0.1
+		done
+	done
+}
+
+# stop_cluster ends what start_cluster started, by process id.
+stop_cluster() {
+	[ -d "$RUN" ] || return 0
+	touch "$RUN/stop"
+	for i in $INSTANCES; do
+		[ -e "$RUN/instance-$i.pid" ] && kill "$(cat "$RUN/instance-$i.pid")" 2>/dev/null
+	done
+	[ -e "$RUN/keepers" ] && for pid in $(cat "$RUN/keepers"); do wait "$pid" 2>/dev/null; done
+	[ -e "$RUN/stand.pid" ] && kill "$(cat "$RUN/stand.pid")" 2>/dev/null && wait "$(cat "$RUN/stand.pid")" 2>/dev/null
+	rm -f "$RUN"/*.pid "$RUN/keepers"
+	return 0
+}
