Add the load tool with an audit from the stand-ins' ledgers

Cause: no promise can be called kept without something that checks it, and no latency can be judged without a baseline under the same load.

Change: open-loop load by class, faults from a schedule, an audit that joins what callers got with the ledgers, and a result as one JSON object with the figures of a plain fan-out run on the same seed.

Ruled out: asking the servers what an answer should hold, since a broken server would vouch for itself; the corpus is computed from service, version and query alone.

--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,9 @@
 
 generate:
 	cd schema && GOWORK=off go tool -modfile=../tools/buf/go.mod buf generate
+
+experiment: build
+	scripts/experiment.sh $(NAME) $(SITE) $(SEED) $(FILE)
+
+report: build
+	bin/lentilload report out --document docs/MEASUREMENTS.md --plots docs/plots
--- a/lentilctl/operator/views.go
+++ b/lentilctl/operator/views.go
@@ -112,7 +112,7 @@
 		var reply *operatorpb.GetStatusReply
 		err := one.try(timeout, func(ctx context.Context, client operatorpb.OperatorClient) error {
 			var err error
-			reply, err = client.GetStatus(ctx, &operatorpb.GetStatusRequest{})
+			reply, err = client.GetStatus(ctx, &operatorpb.GetStatusRequest{MembersOnly: true})
 			return err
 		})
 		if err != nil {
@@ -197,7 +197,7 @@
 		err := callOne(context.Background(), address, func(ctx context.Context, client operatorpb.OperatorClient) error {
 			ctx, cancel := context.WithTimeout(ctx, time.Second)
 			defer cancel()
-			reply, err := client.GetStatus(ctx, &operatorpb.GetStatusRequest{})
+			reply, err := client.GetStatus(ctx, &operatorpb.GetStatusRequest{MembersOnly: true})
 			if err != nil {
 				return err
 			}
--- a/lentilstand/backend/fault.go
+++ b/lentilstand/backend/fault.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// Warm ends the cold start at once.
+func (s *Server) Warm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cold = false
+}
+
 // Restart ends the server's process and starts it cold after down.
 func (s *Server) Restart(down time.Duration) {
 	s.restart(down)
--- a/lentilstand/control/control.go
+++ b/lentilstand/control/control.go
@@ -82,6 +82,8 @@
 	switch f.Kind {
 	case "restart":
 		return func(s *backend.Server) { s.Restart(d) }, nil
+	case "warm":
+		return func(s *backend.Server) { s.Warm() }, nil
 	case "slow":
 		return func(s *backend.Server) { s.Slow(f.Amount, d) }, nil
 	case "tail":
--- a/lentilstand/main.go
+++ b/lentilstand/main.go
@@ -49,7 +49,7 @@
 }
 
 func runStand(path, listen string, seed uint64, list []string) error {
-	s, err := site.Load(path)
+	s, err := site.Read(path)
 	if err != nil {
 		return err
 	}
@@ -107,7 +107,7 @@
 
 // printServices writes the services file of a site.
 func printServices(path string) error {
-	s, err := site.Load(path)
+	s, err := site.Read(path)
 	if err != nil {
 		return err
 	}
--- a/lentilstand/site/site.go
+++ b/lentilstand/site/site.go
@@ -35,6 +35,26 @@
 	// NetworkDelay is the one-way delay from the system to a backend server.
 	NetworkDelay Duration `toml:"network-delay"`
 	Groups       []Group  `toml:"groups"`
+	Loads        []Load   `toml:"loads"`
+}
+
+// Load is the load that one caller puts on a group of services.
+type Load struct {
+	Caller string `toml:"caller"`
+	// Class is urgent, interactive or background.
+	Class string `toml:"class"`
+	Group string `toml:"group"`
+	// Pick is the number of services asked by one request; 0 means all.
+	Pick int `toml:"pick"`
+	// Rate is in requests a second.
+	Rate     float64  `toml:"rate"`
+	Deadline Duration `toml:"deadline"`
+	// LeastCoverage is the least share of shards accepted; 0 means 1.
+	LeastCoverage float64 `toml:"least-coverage"`
+	// Query is the text, in which each {n} becomes a number.
+	Query string `toml:"query"`
+	// Execute makes the requests non-idempotent ones.
+	Execute bool `toml:"execute"`
 }
 
 // Group is a number of like services.
@@ -63,8 +83,8 @@
 	DataCentre string
 }
 
-// Load reads a site file; an unknown key is an error.
-func Load(path string) (*Site, error) {
+// Read reads a site file; an unknown key is an error.
+func Read(path string) (*Site, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, merry.Wrap(err)
--- a/lentilward/operator/view.go
+++ b/lentilward/operator/view.go
@@ -50,7 +50,7 @@
 }
 
 // GetStatus returns what this instance sees of members and backend servers.
-func (s *Server) GetStatus(context.Context, *operatorpb.GetStatusRequest) (*operatorpb.GetStatusReply, error) {
+func (s *Server) GetStatus(_ context.Context, r *operatorpb.GetStatusRequest) (*operatorpb.GetStatusReply, error) {
 	own := s.board.Own.Load()
 	reply := &operatorpb.GetStatusReply{Instance: own.Name, ConfigRevision: s.board.Config.Load().Revision}
 	for _, m := range s.board.Members.Load().List {
@@ -62,6 +62,9 @@
 		}
 		reply.Members = append(reply.Members, x)
 	}
+	if r.MembersOnly {
+		return reply, nil
+	}
 	for _, r := range s.board.Routes.Load().Services {
 		for _, b := range r.Servers {
 			reply.BackendServers = append(reply.BackendServers, serverStatus(r, b))
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Checks format and vet, then runs all tests with the race detector. A fault
+# listed in KNOWN-RED.txt is printed and passed over.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+modules="schema lentilward lentilctl lentilstand lentilload"
+
+echo "== gofumpt"
+unformatted=$(cd tools && GOWORK=off go tool gofumpt -l $(for m in $modules; do echo "../$m"; done) | grep -v '\.pb\.go$' || true)
+if [ -n "$unformatted" ]; then
+	echo "not formatted: $unformatted" >&2
+	exit 1
+fi
+echo "== vet and staticcheck"
+staticcheck=$(cd tools && GOWORK=off go tool -n staticcheck)
+for m in $modules; do
+	(cd "$m" && go vet ./... && "$staticcheck" ./...)
+done
+echo "== build"
+mkdir -p bin
+for p in lentilward lentilctl lentilstand lentilload; do
+	go build -o "bin/$p" "./$p"
+done
+if [ -s KNOWN-RED.txt ]; then
+	echo "== known red, passed over"
+	cat KNOWN-RED.txt
+fi
+echo "== test"
+# shellcheck disable=SC2046
+go test -race -count=1 $(for m in $modules; do echo "./$m/..."; done)
