Give back a permit that is granted after its request has ended

Cause: on a site where every server is cold, requests waited up to their whole deadline although cold servers stood idle. The slow-request log showed waits without a call. A request whose deadline passed while it waited at the owner still got its permit there, and nobody used or returned it until its life of 1.5 s was over; one such permit blocks a server that bears 1.

Change: a late grant is returned at once; a task whose holders are all cold waits at the owner of one of them in place of its own queue.

--- a/lentilward/backend/chooser.go
+++ b/lentilward/backend/chooser.go
@@ -82,3 +82,18 @@
 	}
 	return anyUsable, anyWarm
 }
+
+// randomUsable returns any holder not tried yet that could take work.
+func randomUsable(holders, tried []*blackboard.Server) *blackboard.Server {
+	if len(holders) == 0 {
+		return nil
+	}
+	first := rand.IntN(len(holders))
+	for i := range holders {
+		s := holders[(first+i)%len(holders)]
+		if s.Usable() && !slices.Contains(tried, s) {
+			return s
+		}
+	}
+	return nil
+}
--- a/lentilward/backend/place.go
+++ b/lentilward/backend/place.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
@@ -15,6 +14,8 @@
 	waitSlice = 50 * time.Millisecond
 	// reconnectWait is how long a patient task waits when no holder is up.
 	reconnectWait = 10 * time.Millisecond
+	// refusedWait is the pause after an owner granted no place.
+	refusedWait = 5 * time.Millisecond
 	// cancelGrace is how long a cold server's place stays taken after a call
 	// that was given up, since the server may still run it.
 	cancelGrace = 250 * time.Millisecond
@@ -47,26 +48,38 @@
 			return r.localPlace(s), nil
 		}
 		anyUsable, anyWarm := usable(holders, tried)
-		switch {
-		case !anyUsable && !(q.Patient && len(tried) == 0):
-			return nil, ErrNoServer
-		case !anyUsable:
-			pause(ctx, reconnectWait)
-		case !anyWarm:
-			if p := r.remotePlace(ctx, q, holders, tried); p != nil {
-				return p, nil
-			}
-			fallthrough
-		default:
-			p, err := r.queuedPlace(ctx, q, holders, tried, service)
-			if p != nil || err != nil && !errors.Is(err, context.DeadlineExceeded) {
-				return p, err
+		if !anyUsable {
+			if !q.Patient || len(tried) > 0 {
+				return nil, ErrNoServer
 			}
+			pause(ctx, reconnectWait)
+			continue
+		}
+		p, err := r.await(ctx, q, holders, tried, service, anyWarm)
+		if p != nil || err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			return p, err
 		}
 	}
 	return nil, ctx.Err()
 }
 
+// await waits for a slice of time: in the service's own queue, or if all
+// holders are cold in that of the owner of one of them.
+func (r *Runner) await(ctx context.Context, q *Request, holders, tried []*blackboard.Server, service string, anyWarm bool) (*place, error) {
+	if anyWarm {
+		return r.queuedPlace(ctx, q, holders, tried, service)
+	}
+	s := randomUsable(holders, tried)
+	if s == nil || s.Owned() {
+		return r.queuedPlace(ctx, q, holders, tried, service)
+	}
+	p := r.remotePlace(ctx, q, s)
+	if p == nil {
+		pause(ctx, refusedWait)
+	}
+	return p, nil
+}
+
 // queuedPlace waits for at most a slice of time in the service's queue.
 func (r *Runner) queuedPlace(ctx context.Context, q *Request, holders, tried []*blackboard.Server, service string) (*place, error) {
 	slice, cancel := context.WithTimeout(ctx, waitSlice)
@@ -82,25 +95,23 @@
 	return r.localPlace(s), nil
 }
 
-// remotePlace asks the owner of a cold holder for a place.
-func (r *Runner) remotePlace(ctx context.Context, q *Request, holders, tried []*blackboard.Server) *place {
-	for _, s := range holders {
-		if !s.Usable() || s.Owned() || slices.Contains(tried, s) {
-			continue
-		}
-		boot := s.BootID.Load()
-		p, err := r.Permit(ctx, s, boot, q.Class)
-		if err != nil || boot == 0 {
-			continue
-		}
-		if p.Warm && p.BootID == boot {
-			s.WarmBootID.Store(boot)
-		}
-		if p.Granted {
-			return &place{server: s, cold: true, release: p.Release}
-		}
+// remotePlace asks the owner of a cold server for a place.
+func (r *Runner) remotePlace(ctx context.Context, q *Request, s *blackboard.Server) *place {
+	boot := s.BootID.Load()
+	if boot == 0 {
+		return nil
+	}
+	p, err := r.Permit(ctx, s, boot, q.Class)
+	if err != nil {
+		return nil
+	}
+	if p.Warm && p.BootID == boot {
+		s.WarmBootID.Store(boot)
+	}
+	if !p.Granted {
+		return nil
 	}
-	return nil
+	return &place{server: s, cold: true, release: p.Release}
 }
 
 // localPlace wraps a place that was taken on this instance's own limit.
--- a/lentilward/backend/request.go
+++ b/lentilward/backend/request.go
@@ -81,6 +81,10 @@
 	Shard uint32
 	Reply *backendpb.SearchReply
 	Err   error
+	// Waited is the time until the first call, Took that until the end.
+	Waited, Took time.Duration
+	// Servers is the number of servers called.
+	Servers int
 }
 
 // Policy selects the mechanisms in use.
--- a/lentilward/backend/runner.go
+++ b/lentilward/backend/runner.go
@@ -72,8 +72,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := shardRun{runner: r, request: q, task: t, done: make(chan outcome, maxAttempts)}
-	return s.run(ctx)
+	s := shardRun{runner: r, request: q, task: t, done: make(chan outcome, maxAttempts), begin: time.Now()}
+	result := s.run(ctx)
+	result.Shard = t.Shard
+	result.Waited, result.Took, result.Servers = s.waited, time.Since(s.begin), len(s.tried)
+	return result
 }
 
 // shardRun is the state of one task.
@@ -85,11 +88,15 @@
 	done     chan outcome
 	inFlight int
 	lastErr  error
+	begin    time.Time
+	waited   time.Duration
 }
 
 func (s *shardRun) run(ctx context.Context) Result {
-	if err := s.attempt(ctx); err != nil {
-		return s.failed(err)
+	err := s.attempt(ctx)
+	s.waited = time.Since(s.begin)
+	if err != nil {
+		return Result{Err: err}
 	}
 	s.task.Routes.State.Budget.Earn(s.task.Routes.Service.HedgeBudget)
 	hedge := time.NewTimer(time.Duration(s.task.Routes.State.HedgeDelay.Load()))
@@ -99,19 +106,19 @@
 		case o := <-s.done:
 			s.inFlight--
 			if o.err == nil {
-				return Result{Shard: s.task.Shard, Reply: o.reply}
+				return Result{Reply: o.reply}
 			}
 			s.lastErr = o.err
 			if s.inFlight > 0 {
 				continue
 			}
 			if err := s.retry(ctx); err != nil {
-				return s.failed(err)
+				return Result{Err: err}
 			}
 		case <-hedge.C:
 			s.hedge(ctx)
 		case <-ctx.Done():
-			return s.failed(ctx.Err())
+			return Result{Err: ctx.Err()}
 		}
 	}
 }
@@ -170,10 +177,6 @@
 	return nil
 }
 
-func (s *shardRun) failed(err error) Result {
-	return Result{Shard: s.task.Shard, Err: err}
-}
-
 // runPlain calls one holder, the next in turn.
 func (r *Runner) runPlain(ctx context.Context, q *Request, t Task) Result {
 	holders := t.Version.Holders[t.Shard]
--- a/lentilward/caller/gather.go
+++ b/lentilward/caller/gather.go
@@ -22,6 +22,8 @@
 	replies []*backendpb.SearchReply
 	gone    bool
 	err     error
+	// slowest is the result that took the longest.
+	slowest backend.Result
 }
 
 // canary is a shard whose result is known before the others are asked.
@@ -88,6 +90,9 @@
 	}
 	for range shards {
 		r := <-results
+		if r.Took > p.slowest.Took {
+			p.slowest = r
+		}
 		if r.Err == nil {
 			p.replies[r.Shard] = r.Reply
 			continue
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -113,6 +113,7 @@
 	if refused != nil {
 		return nil, refused
 	}
+	s.logSlow(q, parts, time.Since(begin))
 	return s.conclude(q, parts, least, routes.Revision)
 }
 
@@ -190,3 +191,22 @@
 	}
 	return a, nil
 }
+
+// slowRequest is the time from which a request is logged with its slowest
+// shard.
+const slowRequest = 100 * time.Millisecond
+
+func (s *Server) logSlow(q *backend.Request, parts []part, took time.Duration) {
+	if took < slowRequest || !s.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	slowest := parts[0]
+	for _, p := range parts {
+		if p.slowest.Took > slowest.slowest.Took {
+			slowest = p
+		}
+	}
+	r := slowest.slowest
+	s.log.Debug("slow request", "request-id", q.ID, "took", took, "service", slowest.service, "shard", r.Shard,
+		"shard-took", r.Took, "waited", r.Waited, "servers", r.Servers, "error", r.Err)
+}
--- a/lentilward/peer/permits.go
+++ b/lentilward/peer/permits.go
@@ -14,7 +14,7 @@
 
 const (
 	// permitWait is how long the owner lets a peer wait for a place.
-	permitWait = 50 * time.Millisecond
+	permitWait = 200 * time.Millisecond
 	// permitLife is after what time a place is free again though its holder
 	// did not give it back. It is longer than any call to a cold server.
 	permitLife = 1500 * time.Millisecond
@@ -64,21 +64,52 @@
 	}
 }
 
-// Request asks the owner of a cold server for a place.
+// Request asks the owner of a cold server for a place. A place that is granted
+// after the context has ended is given back at once.
 func (l *Links) Request(ctx context.Context, owner blackboard.Member, s *blackboard.Server, boot uint64, class blackboard.Class) (backend.Permit, error) {
-	var reply permitReply
-	body := permitBody{Address: s.Address, BootID: boot, Class: class, Wait: permitWait}
+	wait := permitWait
+	if deadline, bounded := ctx.Deadline(); bounded {
+		wait = min(wait, time.Until(deadline))
+	}
+	body := permitBody{Address: s.Address, BootID: boot, Class: class, Wait: wait}
+	answered := make(chan permitAnswer)
+	go func() {
+		a := l.request(context.WithoutCancel(ctx), owner, body)
+		select {
+		case answered <- a:
+		case <-ctx.Done():
+			if a.permit.Granted {
+				a.permit.Release(false)
+			}
+		}
+	}()
+	select {
+	case a := <-answered:
+		return a.permit, a.err
+	case <-ctx.Done():
+		return backend.Permit{}, ctx.Err()
+	}
+}
+
+// permitAnswer is what came of a request for a place.
+type permitAnswer struct {
+	permit backend.Permit
+	err    error
+}
+
+func (l *Links) request(ctx context.Context, owner blackboard.Member, body permitBody) permitAnswer {
 	call, cancel := context.WithTimeout(ctx, 2*permitWait)
 	defer cancel()
+	var reply permitReply
 	if err := l.call(call, owner.Address, kindPermit, body, &reply); err != nil {
-		return backend.Permit{}, err
+		return permitAnswer{err: err}
+	}
+	release := func(proven bool) {
+		back, cancel := context.WithTimeout(ctx, releaseTimeout)
+		defer cancel()
+		l.call(back, owner.Address, kindRelease, releaseBody{ID: reply.ID, Proven: proven}, nil)
 	}
-	return backend.Permit{
-		Granted: reply.Granted, Warm: reply.Warm, BootID: reply.BootID,
-		Release: func(proven bool) {
-			back, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-			defer cancel()
-			l.call(back, owner.Address, kindRelease, releaseBody{ID: reply.ID, Proven: proven}, nil)
-		},
-	}, nil
+	return permitAnswer{permit: backend.Permit{
+		Granted: reply.Granted, Warm: reply.Warm, BootID: reply.BootID, Release: release,
+	}}
 }
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -24,6 +24,9 @@
 		[platform]
 		address = "127.0.0.1:19000"
 
+		[log]
+		level = "${LOG_LEVEL:-info}"
+
 		[policy]
 		fan-out = "${POLICY:-guarded}"
 	END
@@ -33,7 +36,7 @@
 	while [ ! -e "$RUN/stop" ]; do
 		bin/lentilward run --settings "$RUN/instance-$1.toml" 2>>"$RUN/instance-$1.log" &
 		echo $! >"$RUN/instance-$1.pid"
-		wait $!
+		wait $! || true
 		sleep 0.5
 	done
 }
@@ -46,10 +49,10 @@
 		instance_settings "$i" >"$RUN/instance-$i.toml"
 		list="$list --instance=instance-$i=127.0.0.1:1820$i,$(data_centre "$i")"
 	done
-	bin/lentilstand run "sites/$SITE.toml" --seed "${SEED:-1}" $list 2>"$RUN/stand.log" &
+	bin/lentilstand run "sites/$SITE.toml" --seed "${SEED:-1}" $list >/dev/null 2>"$RUN/stand.log" &
 	echo $! >"$RUN/stand.pid"
 	for i in $INSTANCES; do
-		keep_instance "$i" &
+		keep_instance "$i" >/dev/null 2>&1 &
 		echo $! >>"$RUN/keepers"
 	done
 	export LENTILWARD_CALLERS LENTILWARD_OPERATORS
@@ -93,10 +96,18 @@
 	[ -d "$RUN" ] || return 0
 	touch "$RUN/stop"
 	for i in $INSTANCES; do
-		[ -e "$RUN/instance-$i.pid" ] && kill "$(cat "$RUN/instance-$i.pid")" 2>/dev/null
+		end "$RUN/instance-$i.pid"
+	done
+	for pid in $(cat "$RUN/keepers" 2>/dev/null); do
+		wait "$pid" || true
 	done
-	[ -e "$RUN/keepers" ] && for pid in $(cat "$RUN/keepers"); do wait "$pid" 2>/dev/null; done
-	[ -e "$RUN/stand.pid" ] && kill "$(cat "$RUN/stand.pid")" 2>/dev/null && wait "$(cat "$RUN/stand.pid")" 2>/dev/null
+	end "$RUN/stand.pid"
 	rm -f "$RUN"/*.pid "$RUN/keepers"
-	return 0
+}
+
+end() { # file with a process id
+	if [ -e "$1" ]; then
+		kill "$(cat "$1")" 2>/dev/null || true
+		wait "$(cat "$1")" 2>/dev/null || true
+	fi
 }
