--- a/lentilload/audit/audit.go
+++ b/lentilload/audit/audit.go
@@ -114,7 +114,7 @@
 		f.Cut++
 		f.example("cut: " + r.ID + ": " + r.Message)
 	case caller.Refused:
-		if r.Outcome == callerpb.Outcome_OUTCOME_NOT_RUN && c.runs > 0 && !r.Execute {
+		if r.Outcome == callerpb.Outcome_OUTCOME_NOT_RUN && c.runs > 0 {
 			f.FalseNotRun++
 			f.example("false not-run: " + r.ID + ": " + r.Message)
 		}
--- a/lentilload/caller/load.go
+++ b/lentilload/caller/load.go
@@ -84,6 +84,7 @@
 		g.Add(r)
 		if resend {
 			again := *r
+			again.Resent = true
 			g.sender.SendTo(ctx, r.Instance+1, &again)
 			g.Add(&again)
 		}
--- a/lentilload/caller/record.go
+++ b/lentilload/caller/record.go
@@ -29,6 +29,8 @@
 	Services []string
 	Query    string
 	Execute  bool
+	// Resent tells that the request was sent before under this id.
+	Resent bool
 	// All tells that the caller asked for every shard.
 	All      bool
 	Begin    time.Time
--- a/lentilload/caller/sender.go
+++ b/lentilload/caller/sender.go
@@ -135,7 +135,7 @@
 	if r.Execute {
 		_, err := x.client.Execute(ctx, &callerpb.ExecuteRequest{
 			RequestId: r.ID, Caller: r.Caller, Service: r.Services[0], Payload: []byte(r.Query), Class: class,
-			DeadlineMs: max(1, left.Milliseconds()),
+			DeadlineMs: max(1, left.Milliseconds()), Resent: r.Resent,
 		})
 		return err
 	}
@@ -145,7 +145,7 @@
 	}
 	stream, err := x.client.Search(ctx, &callerpb.SearchRequest{
 		RequestId: r.ID, Caller: r.Caller, Services: r.Services, Query: r.Query, Class: class,
-		DeadlineMs: max(1, left.Milliseconds()), LeastCoverage: &least,
+		DeadlineMs: max(1, left.Milliseconds()), LeastCoverage: &least, Resent: r.Resent,
 	})
 	if err != nil {
 		return err
--- a/lentilward/backend/runner.go
+++ b/lentilward/backend/runner.go
@@ -15,6 +15,9 @@
 	maxAttempts = 4
 	// freeRetries is the number of retries per shard that cost no budget.
 	freeRetries = 1
+	// hedgeRetry is the pause until a hedge that found no room or budget is
+	// tried again.
+	hedgeRetry = 3 * time.Millisecond
 )
 
 // Runner runs the tasks of requests.
@@ -116,7 +119,9 @@
 				return Result{Err: err}
 			}
 		case <-hedge.C:
-			s.hedge(ctx)
+			if !s.hedge(ctx) {
+				hedge.Reset(hedgeRetry)
+			}
 		case <-ctx.Done():
 			return Result{Err: ctx.Err()}
 		}
@@ -141,22 +146,23 @@
 }
 
 // hedge starts a second call if another holder has room at once and the
-// budget allows it.
-func (s *shardRun) hedge(ctx context.Context) {
+// budget allows it. It tells whether the matter is settled.
+func (s *shardRun) hedge(ctx context.Context) bool {
 	if s.inFlight != 1 || len(s.tried) >= maxAttempts || s.request.Careful {
-		return
+		return true
 	}
 	server := tryAcquire(s.task.Version.Holders[s.task.Shard], s.tried)
 	if server == nil {
-		return
+		return false
 	}
 	p := s.runner.localPlace(server)
 	if p.cold || !s.task.Routes.State.Budget.Spend() {
 		p.release(false)
-		return
+		return false
 	}
 	s.request.hedges.Add(1)
 	s.start(ctx, p)
+	return true
 }
 
 // retry starts another call after all others have failed.
--- /dev/null
+++ b/lentilward/backend/runner_test.go
@@ -0,0 +1,176 @@
+package backend
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/schema/backendpb"
+	"lentilward.org/schema/callerpb"
+)
+
+// The outcome that a caller is told is true on every path.
+func TestOutcomes(t *testing.T) {
+	gone := refused(backendpb.RefusalReason_REFUSAL_REASON_VERSION_UNKNOWN)
+	full := refused(backendpb.RefusalReason_REFUSAL_REASON_OVERLOADED)
+	for _, c := range []struct {
+		name    string
+		prepare func(b *bench)
+		err     error
+		outcome callerpb.Outcome
+		calls   int
+	}{
+		{"answered", func(*bench) {}, nil, callerpb.Outcome_OUTCOME_RAN, 1},
+		{"refused by all", func(b *bench) { b.clients[0].err, b.clients[1].err = full, full }, ErrRefused, callerpb.Outcome_OUTCOME_NOT_RUN, 2},
+		{"version gone", func(b *bench) { b.clients[0].err, b.clients[1].err = gone, gone }, ErrVersionGone, callerpb.Outcome_OUTCOME_NOT_RUN, 2},
+		{"lost by all", func(b *bench) { b.clients[0].err, b.clients[1].err = lost, lost }, ErrLost, callerpb.Outcome_OUTCOME_UNKNOWN, 2},
+		{"lost, then answered", func(b *bench) {
+			b.clients[0].err = lost
+			b.servers[1].Observe(time.Second, time.Now())
+		}, nil, callerpb.Outcome_OUTCOME_RAN, 2},
+		{"out of service", func(b *bench) {
+			b.servers[0].OutOfService.Store(true)
+			b.servers[1].OutOfService.Store(true)
+		}, errDeadline, callerpb.Outcome_OUTCOME_NOT_RUN, 0},
+		{"too slow", func(b *bench) { b.clients[0].delay, b.clients[1].delay = time.Minute, time.Minute }, errDeadline, callerpb.Outcome_OUTCOME_UNKNOWN, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withBench(t, 2, func(t *testing.T, b *bench) {
+				c.prepare(b)
+				q := request(time.Second)
+				r := b.run(q)
+				synctest.Wait()
+				if !errors.Is(r.Err, c.err) || c.err == nil && r.Err != nil {
+					t.Errorf("error %v, want %v", r.Err, c.err)
+				}
+				if got := q.Outcome(); got != c.outcome {
+					t.Errorf("outcome %v, want %v", got, c.outcome)
+				}
+				if got := b.clients[0].calls + b.clients[1].calls; got != c.calls {
+					t.Errorf("%d calls, want %d", got, c.calls)
+				}
+			})
+		})
+	}
+}
+
+// A reply that names another version, shard, request or attempt is never an
+// answer.
+func TestForeignRepliesAreDropped(t *testing.T) {
+	for name, change := range map[string]func(*backendpb.SearchReply){
+		"version": func(p *backendpb.SearchReply) { p.Version++ },
+		"shard":   func(p *backendpb.SearchReply) { p.Shard++ },
+		"request": func(p *backendpb.SearchReply) { p.RequestId = "other" },
+		"attempt": func(p *backendpb.SearchReply) { p.Attempt++ },
+		"service": func(p *backendpb.SearchReply) { p.Service = "other" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withBench(t, 1, func(t *testing.T, b *bench) {
+				b.clients[0].change = change
+				if r := b.run(request(time.Second)); !errors.Is(r.Err, ErrMismatch) || r.Reply != nil {
+					t.Errorf("got %v, %v", r.Reply, r.Err)
+				}
+			})
+		})
+	}
+}
+
+// A slow attempt is hedged once and its loser cancelled; without budget it is
+// not hedged.
+func TestHedge(t *testing.T) {
+	withBench(t, 2, func(t *testing.T, b *bench) {
+		b.clients[0].delay = time.Second
+		b.servers[1].Observe(time.Hour, time.Now())
+		if r := b.run(request(10 * time.Second)); r.Err != nil || b.clients[1].calls != 0 {
+			t.Fatalf("hedged without budget: %v", r.Err)
+		}
+		for range 100 {
+			b.task.Routes.State.Budget.Earn(0.05)
+		}
+		begin := time.Now()
+		q := request(10 * time.Second)
+		if r := b.run(q); r.Err != nil {
+			t.Fatal(r.Err)
+		}
+		if took := time.Since(begin); took != 30*time.Millisecond {
+			t.Errorf("took %v, want the hedge delay of 20 ms and 10 ms", took)
+		}
+		synctest.Wait()
+		if b.clients[0].cancelled != 1 || q.Hedges() != 1 {
+			t.Errorf("%d cancelled, %d hedges, want 1 and 1", b.clients[0].cancelled, q.Hedges())
+		}
+		if b.servers[0].InFlight.Load() != 0 {
+			t.Error("the loser's place was not given back")
+		}
+	})
+}
+
+// No hedge goes to a cold server, nor to one that is out of service.
+func TestNoHedgeToWeakServers(t *testing.T) {
+	withBench(t, 3, func(t *testing.T, b *bench) {
+		for range 100 {
+			b.task.Routes.State.Budget.Earn(0.05)
+		}
+		b.clients[0].delay = 200 * time.Millisecond
+		b.cool(1, false)
+		b.servers[2].OutOfService.Store(true)
+		if r := b.run(request(time.Second)); r.Err != nil {
+			t.Fatal(r.Err)
+		}
+		if b.clients[1].calls+b.clients[2].calls != 0 {
+			t.Error("a weak server got a hedge")
+		}
+	})
+}
+
+// The limit of a server holds, and those that wait go by class.
+func TestQueueOrder(t *testing.T) {
+	withBench(t, 1, func(t *testing.T, b *bench) {
+		b.servers[0].Limit.Store(1)
+		var mu sync.Mutex
+		var order []blackboard.Class
+		var wg sync.WaitGroup
+		for i, class := range []blackboard.Class{blackboard.Interactive, blackboard.Background, blackboard.Interactive, blackboard.Urgent} {
+			wg.Go(func() {
+				q := request(time.Second)
+				q.Class = class
+				if r := b.run(q); r.Err != nil {
+					t.Error(r.Err)
+				}
+				mu.Lock()
+				order = append(order, class)
+				mu.Unlock()
+			})
+			time.Sleep(time.Duration(i+1) * time.Millisecond / 4)
+		}
+		wg.Wait()
+		synctest.Wait()
+		want := []blackboard.Class{blackboard.Interactive, blackboard.Urgent, blackboard.Interactive, blackboard.Background}
+		for i := range want {
+			if order[i] != want[i] {
+				t.Fatalf("order %v, want %v", order, want)
+			}
+		}
+		if b.clients[0].most > 1 {
+			t.Errorf("%d in flight with a limit of 1", b.clients[0].most)
+		}
+	})
+}
+
+// A server taken out of service in the middle of a request gets no retry.
+func TestWithdrawnServerGetsNoRetry(t *testing.T) {
+	withBench(t, 2, func(t *testing.T, b *bench) {
+		b.clients[0].err = lost
+		b.servers[1].Observe(time.Second, time.Now())
+		b.servers[1].OutOfService.Store(true)
+		if r := b.run(request(time.Second)); !errors.Is(r.Err, ErrLost) {
+			t.Errorf("got %v, want ErrLost", r.Err)
+		}
+		if b.clients[1].calls != 0 {
+			t.Error("a withdrawn server got a retry")
+		}
+	})
+}
--- a/lentilward/blackboard/server.go
+++ b/lentilward/blackboard/server.go
@@ -131,7 +131,8 @@
 
 // Owned tells whether this instance may admit to the cold server now.
 func (s *Server) Owned() bool {
-	return Monotonic() < s.OwnedUntil.Load()
+	until := s.OwnedUntil.Load()
+	return until != 0 && Monotonic() < until
 }
 
 // Usable tells whether the server may get new work at all.
--- a/lentilward/caller/execute.go
+++ b/lentilward/caller/execute.go
@@ -18,7 +18,7 @@
 	begin := time.Now()
 	result, err := s.execute(ctx, r, begin)
 	if err != nil {
-		return nil, s.refuse(r.Caller, r.RequestId, err)
+		return nil, s.refuse(r.Caller, r.RequestId, r.Resent, err)
 	}
 	return &callerpb.ExecuteReply{RequestId: r.RequestId, Result: result, Instance: s.board.Own.Load().Name}, nil
 }
--- /dev/null
+++ b/lentilward/caller/fake_test.go
@@ -0,0 +1,182 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"lentilward.org/lentilward/backend"
+	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/lentilward/monitor"
+	"lentilward.org/lentilward/platform"
+	"lentilward.org/schema/backendpb"
+	"lentilward.org/schema/callerpb"
+)
+
+// fakeServer is a backend server in memory. Each shard of a version holds one
+// record for the query.
+type fakeServer struct {
+	backendpb.BackendClient
+	versions []uint64
+	lost     bool
+	slow     time.Duration
+	calls    int
+}
+
+var errLost = status.Error(codes.Unavailable, "connection reset")
+
+func (f *fakeServer) Search(ctx context.Context, r *backendpb.SearchRequest, _ ...grpc.CallOption) (*backendpb.SearchReply, error) {
+	f.calls++
+	select {
+	case <-time.After(10*time.Millisecond + f.slow):
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+	if f.lost || r.Query == "poison" {
+		return nil, errLost
+	}
+	for _, v := range f.versions {
+		if v == r.Version {
+			return &backendpb.SearchReply{
+				RequestId: r.RequestId, Attempt: r.Attempt, Service: r.Service, Version: r.Version, Shard: r.Shard, BootId: 1,
+				Matches: []*backendpb.Match{{
+					Record: uint64(r.Shard), Score: 1 / float64(r.Shard+1),
+					Text: fmt.Sprintf("%s shard %d version %d: %s", r.Service, r.Shard, r.Version, r.Query),
+				}},
+			}, nil
+		}
+	}
+	s, err := status.New(codes.FailedPrecondition, "refused").WithDetails(
+		&backendpb.Refusal{Reason: backendpb.RefusalReason_REFUSAL_REASON_VERSION_UNKNOWN})
+	if err != nil {
+		return nil, err
+	}
+	return nil, s.Err()
+}
+
+func (f *fakeServer) Execute(_ context.Context, r *backendpb.ExecuteRequest, _ ...grpc.CallOption) (*backendpb.ExecuteReply, error) {
+	f.calls++
+	if f.lost {
+		return nil, errLost
+	}
+	return &backendpb.ExecuteReply{RequestId: r.RequestId, Result: r.Payload, BootId: 1}, nil
+}
+
+// fakeStream collects the frames of an answer.
+type fakeStream struct {
+	grpc.ServerStream
+	ctx    context.Context
+	frames []*callerpb.SearchReply
+}
+
+func (s *fakeStream) Context() context.Context { return s.ctx }
+
+func (s *fakeStream) Send(r *callerpb.SearchReply) error {
+	s.frames = append(s.frames, r)
+	return nil
+}
+
+// tier is one instance with services "billing" of 2 shards and "audit" of 1,
+// each on two servers.
+type tier struct {
+	board   *blackboard.Board
+	server  *Server
+	servers map[string][]*fakeServer
+	routes  map[string]*blackboard.ServiceRoutes
+	kv      map[string]platform.Entry
+	kvDown  bool
+}
+
+func newTier(ctx context.Context) *tier {
+	t := &tier{
+		board:   blackboard.New(blackboard.Own{Name: "test", Phase: blackboard.Serving}),
+		servers: make(map[string][]*fakeServer),
+		routes:  make(map[string]*blackboard.ServiceRoutes),
+		kv:      make(map[string]platform.Entry),
+	}
+	log := slog.New(slog.DiscardHandler)
+	runner := backend.New(ctx, "test", backend.Policy{}, log)
+	t.server = New(t.board, runner, platform.NewClaims(t.keyValue(), "test"), NewSuspects(t.board),
+		monitor.NewMetrics(), backend.Policy{}, log)
+	t.add("billing", 2, 1000)
+	t.add("audit", 1, 2000)
+	t.publish()
+	return t
+}
+
+// add makes a service whose servers hold version 1.
+func (t *tier) add(name string, shards, port int) {
+	state := &blackboard.ServiceState{}
+	state.HedgeDelay.Store(int64(time.Second))
+	state.Typical.Store(int64(10 * time.Millisecond))
+	r := &blackboard.ServiceRoutes{
+		Service: &blackboard.Service{Name: name, Shards: uint32(shards), HedgeBudget: 0.05}, State: state,
+	}
+	for i := range 2 {
+		f := &fakeServer{versions: []uint64{1}}
+		s := &blackboard.Server{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port+i)),
+			Service: name, Client: f, Refresh: func() {},
+		}
+		s.SetBoot(1)
+		s.WarmBootID.Store(1)
+		s.Connected.Store(true)
+		s.Slots.Store(4)
+		s.Limit.Store(4)
+		r.Servers = append(r.Servers, s)
+		t.servers[name] = append(t.servers[name], f)
+	}
+	t.routes[name] = r
+	t.pin(name, 1, shards)
+}
+
+// pin makes a version the one that new requests use.
+func (t *tier) pin(name string, version uint64, shards int) {
+	r := *t.routes[name]
+	r.Pin = &blackboard.VersionRoutes{Version: version, Holders: make([][]*blackboard.Server, shards)}
+	for i := range shards {
+		r.Pin.Holders[i] = r.Servers
+	}
+	t.routes[name] = &r
+}
+
+func (t *tier) publish() {
+	routes := &blackboard.Routes{Services: make(map[string]*blackboard.ServiceRoutes), Revision: 1}
+	for name, r := range t.routes {
+		routes.Services[name] = r
+	}
+	t.board.Routes.Store(routes)
+}
+
+func (t *tier) keyValue() *platform.KeyValue {
+	return &platform.KeyValue{
+		Get: func(_ context.Context, key string) (platform.Entry, error) {
+			if t.kvDown {
+				return platform.Entry{}, platform.ErrUnavailable
+			}
+			return t.kv[key], nil
+		},
+		Put: func(_ context.Context, key string, value []byte, expected, _ uint64) (uint64, error) {
+			if t.kvDown {
+				return 0, platform.ErrUnavailable
+			}
+			if t.kv[key].Revision != expected {
+				return 0, platform.ErrConflict
+			}
+			t.kv[key] = platform.Entry{Value: value, Revision: expected + 1}
+			return expected + 1, nil
+		},
+		GrantLease: func(context.Context, time.Duration) (uint64, error) {
+			if t.kvDown {
+				return 0, platform.ErrUnavailable
+			}
+			return 1, nil
+		},
+	}
+}
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -44,7 +44,7 @@
 	begin := time.Now()
 	a, err := s.search(stream.Context(), r, begin)
 	if err != nil {
-		return s.refuse(r.Caller, r.RequestId, err)
+		return s.refuse(r.Caller, r.RequestId, r.Resent, err)
 	}
 	a.summary.ElapsedUs = time.Since(begin).Microseconds()
 	s.metrics.Answered(r.Caller, a.class, time.Since(begin), a.summary.Attempts, a.summary.Hedges,
@@ -74,9 +74,13 @@
 	return stream.Send(&callerpb.SearchReply{RequestId: id, Chunk: chunk, Summary: a.summary})
 }
 
-// refuse counts and logs a refusal.
-func (s *Server) refuse(caller, id string, err error) error {
+// refuse counts and logs a refusal. Of a request that was sent before it is
+// not known here whether it ran then.
+func (s *Server) refuse(caller, id string, resent bool, err error) error {
 	r := asRefusal(err)
+	if resent && r.outcome == callerpb.Outcome_OUTCOME_NOT_RUN {
+		r.outcome = callerpb.Outcome_OUTCOME_UNKNOWN
+	}
 	s.metrics.Refused(r.reason, r.outcome)
 	s.log.Debug("refused", "caller", caller, "request-id", id, "reason", r.reason, "outcome", r.outcome,
 		"message", r.message)
--- a/lentilward/fleet/routes.go
+++ b/lentilward/fleet/routes.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		for _, v := range t.status.Versions {
-			if v.Service == service.Name {
+			if v.Service == service.Name && v.ShardCount > 0 {
 				r.Versions[v.Version] = addHolder(r.Versions[v.Version], v.Version, v.ShardCount, v.Shards, t.server)
 			}
 		}
--- a/lentilward/fleet/tuner.go
+++ b/lentilward/fleet/tuner.go
@@ -12,7 +12,11 @@
 	// leastHedgeDelay keeps hedges away from ordinary jitter.
 	leastHedgeDelay = 2 * time.Millisecond
 	// hedgeQuantile is the share of attempts that end before the hedge.
-	hedgeQuantile = 0.95
+	hedgeQuantile = 0.97
+	// The hedge delay stays between these multiples of the median, so that a
+	// slow server among the holders does not put off its own hedges.
+	leastHedgeFactor   = 1.5
+	largestHedgeFactor = 2.5
 	// hedgeSamples is the number of replies that a quantile needs.
 	hedgeSamples = 50
 	// decaySamples is the number of replies at which the histogram is halved.
@@ -51,7 +55,9 @@
 		return
 	}
 	s.Typical.Store(int64(q[0]))
-	s.HedgeDelay.Store(int64(max(q[1], leastHedgeDelay)))
+	median := float64(q[0])
+	delay := min(max(float64(q[1]), leastHedgeFactor*median), largestHedgeFactor*median)
+	s.HedgeDelay.Store(int64(max(time.Duration(delay), leastHedgeDelay)))
 	if n > decaySamples {
 		s.Latencies.Decay()
 	}
