--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -16,7 +16,10 @@
 	. scripts/cluster.sh
 	trap stop_cluster EXIT
 	start_cluster
-	create_services >"$RUN/create.log"
+	create_services >"$RUN/create.log" || {
+		tail -n 5 "$RUN"/*.log >&2
+		exit 1
+	}
 	wait_until_ready
 	# shellcheck disable=SC2046
 	bin/lentilload run --site "sites/$SITE.toml" --schedule "$FILE" --seed "$SEED" --folder "$RUN" \
