--- a/lentilload/core.go
+++ b/lentilload/core.go
@@ -123,7 +123,7 @@
 	defer stop()
 	var open sync.WaitGroup
 	for i, l := range x.site.Loads {
-		open.Go(func() { x.generator.Run(load, l, x.options.seed+uint64(i), x.factor) })
+		open.Go(func() { x.generator.Run(load, l, x.options.seed+uint64(i), func() (float64, bool) { return x.factor(l) }) })
 	}
 	for i, f := range x.schedule.Faults {
 		open.Go(func() { x.fault(load, f, x.options.seed+uint64(i)) })
@@ -138,15 +138,16 @@
 	time.Sleep(settleTime)
 }
 
-// factor returns by how much the rates are multiplied now.
-func (x *experiment) factor() (rate float64, warmUp bool) {
+// factor returns by how much the rate of a load is multiplied now.
+func (x *experiment) factor(l site.Load) (rate float64, warmUp bool) {
 	rate = x.schedule.RateFactor
 	at := time.Since(x.begin)
 	if at < 0 {
 		return rate, true
 	}
 	for _, s := range x.schedule.Surges {
-		if at >= time.Duration(s.At) && at < time.Duration(s.At+s.For) {
+		concerns := s.Group == "" || x.target(s.Group) == l.Group
+		if concerns && at >= time.Duration(s.At) && at < time.Duration(s.At+s.For) {
 			rate *= s.Factor
 		}
 	}
--- a/lentilload/schedule/schedule.go
+++ b/lentilload/schedule/schedule.go
@@ -30,11 +30,12 @@
 	Racers int `toml:"racers"`
 }
 
-// Surge is a time of higher load. Times count from the end of the warm-up.
+// Surge is a time of higher load on a group, or on all if none is named. Times count from the end of the warm-up.
 type Surge struct {
 	At     site.Duration `toml:"at"`
 	For    site.Duration `toml:"for"`
 	Factor float64       `toml:"factor"`
+	Group  string        `toml:"group"`
 }
 
 // Fault is one fault, or several if Every is set.
--- /dev/null
+++ b/lentilstand/backend/server_test.go
@@ -0,0 +1,89 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"lentilward.org/lentilstand/site"
+	"lentilward.org/schema/backendpb"
+)
+
+// start runs a server that bears 1 request while cold and returns a client.
+func start(t *testing.T, warmRuns uint32) (*Server, backendpb.BackendClient) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(l.Addr().String())
+	l.Close()
+	s := New(site.Server{
+		Service: "s", Address: address, DataCentre: "north",
+		Group: site.Group{
+			Servers: 1, Slots: 2, Connections: 2, ColdBears: 1, WarmRuns: warmRuns, Shards: 1, Replicas: 1,
+			ServiceTime: site.Duration(time.Millisecond),
+		},
+	}, 0, 1)
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	conn, err := grpc.NewClient("passthrough:///"+address.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return s, backendpb.NewBackendClient(conn)
+}
+
+func search(c backendpb.BackendClient, version uint64) (*backendpb.SearchReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return c.Search(ctx, &backendpb.SearchRequest{RequestId: "r", Service: "s", Version: version, Query: "q"})
+}
+
+func TestColdServerWarmsWithWork(t *testing.T) {
+	s, c := start(t, 3)
+	for range 4 {
+		if _, err := search(c, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ledger := s.Ledger()
+	if !ledger[2].Cold || ledger[3].Cold {
+		t.Errorf("cold: %v, %v; want the third run cold and the fourth not", ledger[2].Cold, ledger[3].Cold)
+	}
+}
+
+func TestColdServerCrashesAboveItsBound(t *testing.T) {
+	s, c := start(t, 1000)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			if _, err := search(c, 1); err == nil {
+				return
+			}
+		})
+	}
+	wg.Wait()
+	if s.Describe().Crashes == 0 {
+		t.Error("8 requests at once did not crash a server that bears 1")
+	}
+}
+
+func TestUnknownVersionIsRefusedBeforeItRuns(t *testing.T) {
+	s, c := start(t, 1)
+	if _, err := search(c, 9); err == nil {
+		t.Fatal("ran a version that the server does not have")
+	}
+	if got := s.Ledger()[0].Result; got != "refused" {
+		t.Errorf("ledger says %q, want refused", got)
+	}
+}
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -147,13 +147,16 @@
 	return &backend.Request{ID: r.RequestId, Query: r.Query, Class: c, Deadline: due, Patient: least >= 1}, least, nil
 }
 
-// foresee refuses a request that cannot meet its deadline behind those that
-// wait already.
+// waitShare is the inverse of the share of its time that a request may be
+// expected to wait. The rest is for the service that takes the longest of many.
+const waitShare = 4
+
+// foresee refuses a request that would likely miss its deadline behind those
+// that wait already.
 func (s *Server) foresee(q *backend.Request, services []*blackboard.ServiceRoutes, now time.Time) *refusal {
 	left := q.Deadline.Sub(now)
 	for _, r := range services {
-		typical := time.Duration(r.State.Typical.Load())
-		if wait := s.runner.ExpectedWait(r, q.Class); wait > 0 && wait+2*typical > left {
+		if wait := s.runner.ExpectedWait(r, q.Class); wait > left/waitShare {
 			x := notRun(callerpb.Reason_REASON_OVERLOADED, "service %q: expected wait of %v exceeds the deadline", r.Service.Name, wait)
 			x.retryAfter = wait
 			return x
