Judge a server by the calls that were given up

Cause: a slow server whose calls all lose to hedges kept a good average; the weight of a quarter took several slow calls each time, and it was forgotten after half a second. Each such call spends the hedge budget.

Change: a call that was given up counts as twice its time at once; a server is tried again after 2 s without replies. Refusals are counted by reason.

--- a/lentilload/report/result.go
+++ b/lentilload/report/result.go
@@ -63,6 +63,8 @@
 	ConfigInForce       float64                 `json:"config-in-force-s"`
 	RecoveryS           float64                 `json:"recovery-s"`
 	Classes             map[string]ClassFigures `json:"classes"`
+	// Refusals counts them by reason and outcome.
+	Refusals map[string]int `json:"refusals"`
 	Baseline            *Figures                `json:"baseline"`
 }
 
@@ -92,6 +94,7 @@
 		WorkAfterWithdrawal: round(f.WorkAfterWithdrawal.Seconds()), FalseNotRun: f.FalseNotRun,
 		DoubleRuns: f.DoubleRuns, WrongAnswers: f.WrongAnswers, RevertedChanges: f.RevertedChanges,
 		ConfigInForce: round(f.ConfigInForce.Seconds()), Classes: make(map[string]ClassFigures),
+		Refusals: make(map[string]int),
 	}
 	all := newHistogram()
 	classes := make(map[string]*hdrhistogram.Histogram)
@@ -112,6 +115,7 @@
 		case caller.Refused:
 			r.Refused++
 			c.Refused++
+			r.Refusals[x.Reason.String()+" "+x.Outcome.String()]++
 		case caller.Answered:
 			record(all, x.Took)
 			record(classes[x.Class], x.Took)
--- a/lentilward/backend/attempt.go
+++ b/lentilward/backend/attempt.go
@@ -78,7 +78,7 @@
 		q.lost.Add(1)
 		return err
 	}
-	s.ObserveAtLeast(elapsed, time.Now())
+	s.ObserveGivenUp(elapsed, time.Now())
 	return err
 }
 
--- a/lentilward/blackboard/server.go
+++ b/lentilward/blackboard/server.go
@@ -52,32 +52,41 @@
 	lastSample atomic.Int64
 }
 
-// latencyWeight is the inverse of the weight of a new sample.
-const latencyWeight = 4
+const (
+	// latencyWeight is the inverse of the weight of a new sample.
+	latencyWeight = 4
+	// givenUpFactor is by how much a call that was given up would at least have
+	// taken longer.
+	givenUpFactor = 2
+)
 
 // Observe adds a reply time to the moving average.
 func (s *Server) Observe(d time.Duration, now time.Time) {
+	s.update(now, func(old int64) int64 {
+		if old == 0 {
+			return int64(d)
+		}
+		return old + (int64(d)-old)/latencyWeight
+	})
+}
+
+// ObserveGivenUp raises the average to a multiple of the time that a call took
+// until it was given up. A slow server whose calls all lose to hedges shows
+// itself only in this way.
+func (s *Server) ObserveGivenUp(d time.Duration, now time.Time) {
+	s.update(now, func(old int64) int64 { return max(old, givenUpFactor*int64(d)) })
+}
+
+func (s *Server) update(now time.Time, next func(old int64) int64) {
 	s.lastSample.Store(now.UnixNano())
 	for {
 		old := s.latency.Load()
-		next := old + (int64(d)-old)/latencyWeight
-		if old == 0 {
-			next = int64(d)
-		}
-		if s.latency.CompareAndSwap(old, next) {
+		if s.latency.CompareAndSwap(old, next(old)) {
 			return
 		}
 	}
 }
 
-// ObserveAtLeast adds the time of a request that was given up, if it is longer
-// than the average.
-func (s *Server) ObserveAtLeast(d time.Duration, now time.Time) {
-	if int64(d) > s.latency.Load() {
-		s.Observe(d, now)
-	}
-}
-
 // Latency returns the moving average of reply times; 0 if there was no reply.
 func (s *Server) Latency() time.Duration {
 	return time.Duration(s.latency.Load())
--- a/lentilward/fleet/tuner.go
+++ b/lentilward/fleet/tuner.go
@@ -22,7 +22,7 @@
 	// decaySamples is the number of replies at which the histogram is halved.
 	decaySamples = 2000
 	// forgetAfter is how long a server's latency counts without replies.
-	forgetAfter = 500 * time.Millisecond
+	forgetAfter = 2 * time.Second
 	// adaptTicks is the number of tunings between two steps of a limit.
 	adaptTicks = 5
 	// defaultWarmRuns is the number of replies that prove a server warm, where
