Keep one place on each warm server for urgent requests

Cause: under three times the load urgent requests waited for a place behind interactive ones that were already running (p99 163 ms, 44 ms when steady), and a limit that grew until replies took 1.7 times as long let a queue stand on the servers.

Change: an urgent request may go one above the limit of a warm server; limits grow below 1.2 and fall above 1.5 times the reply time without a queue.

--- a/lentilload/core.go
+++ b/lentilload/core.go
@@ -123,7 +123,9 @@
 	defer stop()
 	var open sync.WaitGroup
 	for i, l := range x.site.Loads {
-		open.Go(func() { x.generator.Run(load, l, x.options.seed+uint64(i), func() (float64, bool) { return x.factor(l) }) })
+		open.Go(func() {
+			x.generator.Run(load, l, x.options.seed+uint64(i), func() (float64, bool) { return x.factor(l) })
+		})
 	}
 	for i, f := range x.schedule.Faults {
 		open.Go(func() { x.fault(load, f, x.options.seed+uint64(i)) })
@@ -178,7 +180,7 @@
 		Records: records, Ledger: ledger, Servers: servers, Accepted: accepted, LostInstances: x.lost,
 		Configs: x.operators.Config(ctx), History: x.operators.History(ctx),
 	})
-	r := report.Summarize(x.schedule.Name, x.site, x.options.seed, records, findings, time.Duration(x.schedule.Duration))
+	r := report.Summarize(x.schedule.Name, x.site, x.options.seed, records, findings, x.begin)
 	if len(x.lost) > 0 {
 		r.RecoveryS = report.Recovery(records, x.lost[0], recoveryFactor).Seconds()
 	}
--- a/lentilload/report/result.go
+++ b/lentilload/report/result.go
@@ -65,7 +65,7 @@
 	Classes             map[string]ClassFigures `json:"classes"`
 	// Refusals counts them by reason and outcome.
 	Refusals map[string]int `json:"refusals"`
-	Baseline            *Figures                `json:"baseline"`
+	Baseline *Figures       `json:"baseline"`
 }
 
 // Trace is what plots need besides the figures.
@@ -86,7 +86,7 @@
 }
 
 // Summarize computes the result of a run.
-func Summarize(name string, s *site.Site, seed uint64, records []*caller.Record, f *audit.Findings, length time.Duration) Result {
+func Summarize(name string, s *site.Site, seed uint64, records []*caller.Record, f *audit.Findings, begin time.Time) Result {
 	r := Result{
 		Name: name, Site: s.Name, Seed: seed,
 		ExtraLoad: round(f.ExtraLoad), Cut: f.Cut, MixedSnapshots: f.MixedSnapshots, FalseCoverage: f.FalseCoverage,
@@ -137,44 +137,47 @@
 		c.P50, c.P99 = quantile(h, 50), quantile(h, 99)
 		r.Classes[name] = c
 	}
-	r.Goodput = goodput(s, records, length)
+	r.Goodput = goodput(s, records, begin)
 	return r
 }
 
 // goodput is the number of shards in answers within their deadline over the
 // smaller of what was asked and what the servers could run, over all services.
-func goodput(s *site.Site, records []*caller.Record, length time.Duration) float64 {
-	asked := make(map[string]float64)
-	good := make(map[string]float64)
+// What was asked in one second can be run in that second only.
+func goodput(s *site.Site, records []*caller.Record, begin time.Time) float64 {
+	type window struct {
+		service string
+		second  int
+	}
 	shards := make(map[string]float64)
 	could := make(map[string]float64)
 	for _, g := range s.Groups {
 		mean := time.Duration(g.ServiceTime).Seconds() * math.Exp(standSpread*standSpread/2)
 		for _, name := range g.ServiceNames() {
 			shards[name] = float64(g.Shards)
-			could[name] = float64(g.Servers) * float64(g.Slots) / mean * length.Seconds()
+			could[name] = float64(g.Servers) * float64(g.Slots) / mean
 		}
 	}
+	asked := make(map[window]float64)
+	var done, possible float64
 	for _, x := range records {
 		if x.WarmUp || x.Execute {
 			continue
 		}
 		for _, name := range x.Services {
-			asked[name] += shards[name]
+			asked[window{name, int(x.Begin.Sub(begin) / time.Second)}] += shards[name]
 			if x.InTime() {
-				good[name] += shards[name]
+				done += shards[name]
 			}
 		}
 	}
-	var done, possible float64
-	for name := range asked {
-		possible += min(asked[name], could[name])
-		done += good[name]
+	for w, n := range asked {
+		possible += min(n, could[w.service])
 	}
 	if possible == 0 {
 		return 0
 	}
-	return round(done / possible)
+	return round(min(1, done/possible))
 }
 
 func newHistogram() *hdrhistogram.Histogram {
--- a/lentilward/backend/chooser.go
+++ b/lentilward/backend/chooser.go
@@ -17,7 +17,7 @@
 
 // tryAcquire takes a place on the best holder that has one, or returns nil.
 // Servers in tried are left out.
-func tryAcquire(holders, tried []*blackboard.Server) *blackboard.Server {
+func tryAcquire(holders, tried []*blackboard.Server, class blackboard.Class) *blackboard.Server {
 	var buffer [8]*blackboard.Server
 	candidates := buffer[:0]
 	preferCold := rand.IntN(coldTrickle) == 0
@@ -28,7 +28,7 @@
 	}
 	for len(candidates) > 0 {
 		i := best(candidates, preferCold)
-		if candidates[i].TryAcquire() {
+		if candidates[i].TryAcquire(class) {
 			return candidates[i]
 		}
 		candidates = slices.Delete(candidates, i, i+1)
--- a/lentilward/backend/place.go
+++ b/lentilward/backend/place.go
@@ -44,7 +44,7 @@
 // context ends.
 func (r *Runner) acquire(ctx context.Context, q *Request, holders, tried []*blackboard.Server, service string) (*place, error) {
 	for ctx.Err() == nil {
-		if s := tryAcquire(holders, tried); s != nil {
+		if s := tryAcquire(holders, tried, q.Class); s != nil {
 			return r.localPlace(s), nil
 		}
 		anyUsable, anyWarm := usable(holders, tried)
--- a/lentilward/backend/queue.go
+++ b/lentilward/backend/queue.go
@@ -138,7 +138,7 @@
 	if s != nil && !slices.Contains(w.holders, s) {
 		return false
 	}
-	got := tryAcquire(w.holders, w.tried)
+	got := tryAcquire(w.holders, w.tried, w.class)
 	if got == nil {
 		return false
 	}
--- a/lentilward/backend/runner.go
+++ b/lentilward/backend/runner.go
@@ -151,7 +151,7 @@
 	if s.inFlight != 1 || len(s.tried) >= maxAttempts || s.request.Careful {
 		return true
 	}
-	server := tryAcquire(s.task.Version.Holders[s.task.Shard], s.tried)
+	server := tryAcquire(s.task.Version.Holders[s.task.Shard], s.tried, s.request.Class)
 	if server == nil {
 		return false
 	}
--- a/lentilward/blackboard/server.go
+++ b/lentilward/blackboard/server.go
@@ -104,14 +104,22 @@
 	}
 }
 
-// TryAcquire takes one place within the limit.
-func (s *Server) TryAcquire() bool {
+// urgentReserve is the number of places above the limit of a warm server that
+// only urgent requests take, so that they do not wait for others to end.
+const urgentReserve = 1
+
+// TryAcquire takes one place within the limit for a class.
+func (s *Server) TryAcquire(c Class) bool {
+	limit := s.Limit.Load()
+	if c == Urgent && s.Warm() {
+		limit += urgentReserve
+	}
 	for {
 		n := s.InFlight.Load()
 		if s.OutOfService.Load() {
 			return false
 		}
-		if n >= s.Limit.Load() {
+		if n >= limit {
 			s.saturated.Store(true)
 			return false
 		}
@@ -151,9 +159,9 @@
 
 const (
 	// queueRatio is the reply time over the floor that shows a queue.
-	queueRatio = 1.7
+	queueRatio = 1.5
 	// freeRatio is the reply time over the floor that shows none.
-	freeRatio = 1.35
+	freeRatio = 1.2
 	// floorGrowth lets the floor follow a server that became slower.
 	floorGrowth = 1.01
 )
