--- a/lentilload/core.go
+++ b/lentilload/core.go
@@ -51,6 +51,8 @@
 	begin     time.Time
 	lost      []time.Time
 	mu        sync.Mutex
+	// before and after are the costs of the instances around the measurement.
+	before, after []instance.Cost
 }
 
 func runExperiment(o *options) error {
@@ -133,13 +135,32 @@
 	for i := range x.schedule.Racers {
 		open.Go(func() { x.race(load, i) })
 	}
+	open.Go(func() {
+		time.Sleep(time.Until(x.begin))
+		x.before = x.costs()
+	})
 	if terminal() {
 		open.Go(func() { x.progress(load) })
 	}
 	open.Wait()
+	x.after = x.costs()
 	time.Sleep(settleTime)
 }
 
+// costs reads what each instance has used; nothing of one that does not answer.
+func (x *experiment) costs() []instance.Cost {
+	costs := make([]instance.Cost, len(x.options.monitors))
+	for i, m := range x.options.monitors {
+		c, err := instance.Scrape(m)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "lentilload: %s: %v\n", m, err)
+			continue
+		}
+		costs[i] = c
+	}
+	return costs
+}
+
 // factor returns by how much the rate of a load is multiplied now.
 func (x *experiment) factor(l site.Load) (rate float64, warmUp bool) {
 	rate = x.schedule.RateFactor
@@ -181,6 +202,7 @@
 		Configs: x.operators.Config(ctx), History: x.operators.History(ctx),
 	})
 	r := report.Summarize(x.schedule.Name, x.site, x.options.seed, records, findings, x.begin)
+	r.Cost = report.NewCost(x.before, x.after, time.Duration(x.schedule.Duration))
 	if len(x.lost) > 0 {
 		r.RecoveryS = report.Recovery(records, x.lost[0], recoveryFactor).Seconds()
 	}
--- a/lentilload/report/result.go
+++ b/lentilload/report/result.go
@@ -10,6 +10,7 @@
 
 	"lentilward.org/lentilload/audit"
 	"lentilward.org/lentilload/caller"
+	"lentilward.org/lentilload/instance"
 	"lentilward.org/lentilstand/site"
 )
 
@@ -33,6 +34,41 @@
 	Refused      int     `json:"refused"`
 }
 
+// Cost is what an instance used during the measurement.
+type Cost struct {
+	CPUShare       float64 `json:"cpu-share"`
+	CPUPerAttempt  float64 `json:"cpu-per-attempt-us"`
+	ResidentMB     float64 `json:"resident-mb"`
+	PeerBytesPerS  float64 `json:"peer-bytes-per-s"`
+	AttemptsPerSec float64 `json:"attempts-per-s"`
+}
+
+// NewCost compares what instances had used before and after a time.
+func NewCost(before, after []instance.Cost, d time.Duration) *Cost {
+	var used instance.Cost
+	n := 0
+	for i := range before {
+		if after[i].CPUSeconds < before[i].CPUSeconds || before[i].CPUSeconds == 0 {
+			continue
+		}
+		n++
+		used.CPUSeconds += after[i].CPUSeconds - before[i].CPUSeconds
+		used.Attempts += after[i].Attempts - before[i].Attempts
+		used.PeerBytes += after[i].PeerBytes - before[i].PeerBytes
+		used.ResidentBytes += after[i].ResidentBytes
+	}
+	if n == 0 {
+		return nil
+	}
+	seconds := d.Seconds() * float64(n)
+	return &Cost{
+		CPUShare:      round(used.CPUSeconds / seconds),
+		CPUPerAttempt: round(used.CPUSeconds / math.Max(1, used.Attempts) * 1e6),
+		ResidentMB:    round(used.ResidentBytes / float64(n) / (1 << 20)),
+		PeerBytesPerS: round(used.PeerBytes / seconds), AttemptsPerSec: round(used.Attempts / seconds),
+	}
+}
+
 // ClassFigures are latencies of one class, in milliseconds.
 type ClassFigures struct {
 	Requests int     `json:"requests"`
@@ -63,6 +99,8 @@
 	ConfigInForce       float64                 `json:"config-in-force-s"`
 	RecoveryS           float64                 `json:"recovery-s"`
 	Classes             map[string]ClassFigures `json:"classes"`
+	// Cost is what one instance used on average.
+	Cost *Cost `json:"cost"`
 	// Refusals counts them by reason and outcome.
 	Refusals map[string]int `json:"refusals"`
 	Baseline *Figures       `json:"baseline"`
--- /dev/null
+++ b/lentilward/backend/bench_test.go
@@ -0,0 +1,51 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"lentilward.org/schema/backendpb"
+)
+
+// echoServer answers a search with 6 matches of 40 bytes.
+type echoServer struct {
+	backendpb.UnimplementedBackendServer
+}
+
+func (echoServer) Search(_ context.Context, r *backendpb.SearchRequest) (*backendpb.SearchReply, error) {
+	p := &backendpb.SearchReply{RequestId: r.RequestId, Attempt: r.Attempt, Service: r.Service, Version: r.Version, Shard: r.Shard, BootId: 1}
+	for i := range 6 {
+		p.Matches = append(p.Matches, &backendpb.Match{Record: uint64(i), Score: 0.5, Text: "0123456789012345678901234567890123456789"})
+	}
+	return p, nil
+}
+
+// BenchmarkCall is one unary call over loopback, both ends in one process.
+func BenchmarkCall(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	g := grpc.NewServer()
+	backendpb.RegisterBackendServer(g, echoServer{})
+	go g.Serve(l)
+	defer g.Stop()
+	conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	client := backendpb.NewBackendClient(conn)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := client.Search(context.Background(), &backendpb.SearchRequest{RequestId: "bench", Service: "s", Version: 1, Query: "meter 4711"}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
