Send members as arrays

Cause: a probe at 870 members had 487 bytes, 3.9 KB a second both ways, above the target of 3 KB. Change: members travel as arrays without field names.

--- a/lentilward/blackboard/members.go
+++ b/lentilward/blackboard/members.go
@@ -23,8 +23,10 @@
 	return [...]string{"alive", "suspected", "leaving", "dead"}[s]
 }
 
-// Member is one instance of the system.
+// Member is one instance of the system. It travels as an array, since every
+// probe carries several.
 type Member struct {
+	_           struct{}       `cbor:",toarray"`
 	Name        string         `cbor:"name"`
 	Address     netip.AddrPort `cbor:"address"`
 	DataCentre  string         `cbor:"data-centre"`
