Hedge from twice the median

The 97th percentile lies at 1.6 medians, so 3 in 100 ordinary calls were hedged and used up what 5 in 100 earn.

Change: hedges start between 2 and 3 medians, and 20 in place of 10 can be saved up.

--- a/lentilward/blackboard/state.go
+++ b/lentilward/blackboard/state.go
@@ -100,7 +100,7 @@
 	// budgetUnit is the cost of one extra run.
 	budgetUnit = 1000
 	// budgetBurst is the number of extra runs that may be saved up.
-	budgetBurst = 10
+	budgetBurst = 20
 )
 
 // Budget is a share of extra runs that grows with ordinary ones.
--- a/lentilward/fleet/tuner.go
+++ b/lentilward/fleet/tuner.go
@@ -15,8 +15,8 @@
 	hedgeQuantile = 0.97
 	// The hedge delay stays between these multiples of the median, so that a
 	// slow server among the holders does not put off its own hedges.
-	leastHedgeFactor   = 1.5
-	largestHedgeFactor = 2.5
+	leastHedgeFactor   = 2.0
+	largestHedgeFactor = 3.0
 	// hedgeSamples is the number of replies that a quantile needs.
 	hedgeSamples = 50
 	// decaySamples is the number of replies at which the histogram is halved.
