Let hedges wait in the queue of their service

Cause: with one of two holders slow, the other bears all and has a queue; a hedge that looked for a free place every 3 ms never saw one, since the queue takes each place as it comes free. Slow requests stayed on one server.

Ruled out: the budget.

Change: a hedge waits in the queue, where its earlier deadline puts it first in its class. A server that becomes warm starts with all its slots as limit, and the limit moves every 0.2 s.

--- a/lentilward/backend/runner.go
+++ b/lentilward/backend/runner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
@@ -15,9 +16,6 @@
 	maxAttempts = 4
 	// freeRetries is the number of retries per shard that cost no budget.
 	freeRetries = 1
-	// hedgeRetry is the pause until a hedge that found no room or budget is
-	// tried again.
-	hedgeRetry = 3 * time.Millisecond
 )
 
 // Runner runs the tasks of requests.
@@ -75,7 +73,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := shardRun{runner: r, request: q, task: t, done: make(chan outcome, maxAttempts), begin: time.Now()}
+	s := shardRun{runner: r, request: q, task: t, done: make(chan outcome, maxAttempts), hedgePlace: make(chan *place), begin: time.Now()}
 	result := s.run(ctx)
 	result.Shard = t.Shard
 	result.Waited, result.Took, result.Servers = s.waited, time.Since(s.begin), len(s.tried)
@@ -84,11 +82,14 @@
 
 // shardRun is the state of one task.
 type shardRun struct {
-	runner   *Runner
-	request  *Request
-	task     Task
-	tried    []*blackboard.Server
-	done     chan outcome
+	runner  *Runner
+	request *Request
+	task    Task
+	tried   []*blackboard.Server
+	done    chan outcome
+	// hedgePlace hands over the place for a hedge.
+	hedgePlace chan *place
+
 	inFlight int
 	lastErr  error
 	begin    time.Time
@@ -104,6 +105,9 @@
 	s.task.Routes.State.Budget.Earn(s.task.Routes.Service.HedgeBudget)
 	hedge := time.NewTimer(time.Duration(s.task.Routes.State.HedgeDelay.Load()))
 	defer hedge.Stop()
+	if s.request.Careful {
+		hedge.Stop()
+	}
 	for {
 		select {
 		case o := <-s.done:
@@ -119,9 +123,9 @@
 				return Result{Err: err}
 			}
 		case <-hedge.C:
-			if !s.hedge(ctx) {
-				hedge.Reset(hedgeRetry)
-			}
+			go s.awaitHedge(ctx, s.tried[:1:1])
+		case p := <-s.hedgePlace:
+			s.hedge(ctx, p)
 		case <-ctx.Done():
 			return Result{Err: ctx.Err()}
 		}
@@ -145,24 +149,39 @@
 	s.runner.start(ctx, s.request, s.task, p, s.done)
 }
 
-// hedge starts a second call if another holder has room at once and the
-// budget allows it. It tells whether the matter is settled.
-func (s *shardRun) hedge(ctx context.Context) bool {
-	if s.inFlight != 1 || len(s.tried) >= maxAttempts || s.request.Careful {
-		return true
-	}
-	server := tryAcquire(s.task.Version.Holders[s.task.Shard], s.tried, s.request.Class)
-	if server == nil {
-		return false
+// awaitHedge waits for a place on another holder than the first, in the order
+// of the queue, and hands it on while the task still runs.
+func (s *shardRun) awaitHedge(ctx context.Context, first []*blackboard.Server) {
+	holders := s.task.Version.Holders[s.task.Shard]
+	for ctx.Err() == nil {
+		if _, anyWarm := usable(holders, first); !anyWarm {
+			return
+		}
+		p, err := s.runner.queuedPlace(ctx, s.request, holders, first, s.task.Routes.Service.Name)
+		if errors.Is(err, context.DeadlineExceeded) {
+			continue
+		}
+		if err != nil {
+			return
+		}
+		select {
+		case s.hedgePlace <- p:
+		case <-ctx.Done():
+			p.release(false)
+		}
+		return
 	}
-	p := s.runner.localPlace(server)
-	if p.cold || !s.task.Routes.State.Budget.Spend() {
+}
+
+// hedge starts a second call, if it is still of use and the budget allows it.
+func (s *shardRun) hedge(ctx context.Context, p *place) {
+	useless := s.inFlight != 1 || slices.Contains(s.tried, p.server) || p.cold
+	if useless || !s.task.Routes.State.Budget.Spend() {
 		p.release(false)
-		return false
+		return
 	}
 	s.request.hedges.Add(1)
 	s.start(ctx, p)
-	return true
 }
 
 // retry starts another call after all others have failed.
--- a/lentilward/fleet/fleet.go
+++ b/lentilward/fleet/fleet.go
@@ -31,7 +31,9 @@
 	servers map[netip.AddrPort]*tracked
 	states  map[string]*blackboard.ServiceState
 	ticks   int
-	asking  atomic.Bool
+	// warm has the servers whose limit was raised since they became warm.
+	warm   map[*blackboard.Server]bool
+	asking atomic.Bool
 	// Wake tells the queues that a server may have room.
 	Wake func(*blackboard.Server)
 	// AskWarmth asks peers which of the servers they know to be warm.
@@ -60,6 +62,7 @@
 		reports: make(chan report, 64),
 		servers: make(map[netip.AddrPort]*tracked),
 		states:  make(map[string]*blackboard.ServiceState),
+		warm:    make(map[*blackboard.Server]bool),
 		Wake:    func(*blackboard.Server) {},
 
 		AskWarmth: func(context.Context, []Warmth) []Warmth { return nil },
@@ -136,6 +139,7 @@
 func (f *Fleet) remove(address netip.AddrPort, t *tracked) {
 	t.server.OutOfService.Store(true)
 	delete(f.servers, address)
+	delete(f.warm, t.server)
 	time.AfterFunc(closeDelay, t.stop)
 }
 
--- a/lentilward/fleet/tuner.go
+++ b/lentilward/fleet/tuner.go
@@ -24,7 +24,7 @@
 	// forgetAfter is how long a server's latency counts without replies.
 	forgetAfter = 2 * time.Second
 	// adaptTicks is the number of tunings between two steps of a limit.
-	adaptTicks = 5
+	adaptTicks = 2
 	// defaultWarmRuns is the number of replies that prove a server warm, where
 	// its configuration names none.
 	defaultWarmRuns = 30
@@ -63,17 +63,20 @@
 	}
 }
 
-// tuneServer sets the limit of one server: a share of its slots if it is warm,
-// the cold ramp if this instance owns it, none otherwise.
+// tuneServer sets the limit of one server: its slots once it is warm, fewer
+// while that makes a queue on it, but never less than this instance's share; the
+// cold limit if this instance owns it, none otherwise.
 func (f *Fleet) tuneServer(s *blackboard.Server, members *blackboard.Members, now time.Time) {
 	if !s.Warm() {
+		delete(f.warm, s)
 		f.tuneCold(s, members, now)
 		return
 	}
 	live := int32(max(1, members.Live()))
 	least := (s.Slots.Load() + live - 1) / live
-	if s.Limit.Load() < least {
-		s.Limit.Store(least)
+	if s.Limit.Load() < least || !f.warm[s] {
+		f.warm[s] = true
+		s.Limit.Store(max(least, s.Slots.Load()))
 		f.Wake(s)
 	}
 	if f.ticks%adaptTicks == 0 {
