--- a/lentilload/main.go
+++ b/lentilload/main.go
@@ -3,12 +3,14 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
 
 	"github.com/ansel1/merry/v2"
 
+	"lentilward.org/lentilload/capacity"
 	"lentilward.org/lentilload/report"
 )
 
@@ -22,6 +24,8 @@
 		err = join(c.guarded, c.baseline)
 	case commandReport:
 		err = report.Write(c.traces, c.document, c.plots)
+	case commandSheet:
+		err = sheet(c)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentilload:", err)
@@ -48,3 +52,29 @@
 	}
 	return nil
 }
+
+// sheet renews the capacity sheet, or checks that it is current.
+func sheet(c *commands) error {
+	slopes, err := capacity.Read(c.slopes)
+	if err != nil {
+		return err
+	}
+	next, err := report.WithPart(c.document, []byte(slopes.Table()))
+	if err != nil {
+		return err
+	}
+	old, err := os.ReadFile(c.document)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	if bytes.Equal(old, next) {
+		return nil
+	}
+	if c.check {
+		return merry.Errorf("%s is not current; run make capacity", c.document)
+	}
+	if err := os.WriteFile(c.document, next, 0o644); err != nil {
+		return merry.Wrap(err)
+	}
+	return nil
+}
--- a/lentilload/options.go
+++ b/lentilload/options.go
@@ -29,12 +29,15 @@
 	traces   string
 	document string
 	plots    string
+	slopes   string
+	check    bool
 }
 
 const (
 	commandRun    = "run"
 	commandJoin   = "join"
 	commandReport = "report"
+	commandSheet  = "capacity"
 )
 
 func parse(args []string) *commands {
@@ -61,6 +64,11 @@
 	report.Flag("document", "File whose generated part is replaced.").Required().StringVar(&c.document)
 	report.Flag("plots", "Folder for plots.").Required().StringVar(&c.plots)
 
+	sheet := app.Command(commandSheet, "Renew the capacity sheet from the slopes.")
+	sheet.Arg("slopes", "File with slopes.").Required().ExistingFileVar(&c.slopes)
+	sheet.Flag("document", "File whose generated part is replaced.").Required().StringVar(&c.document)
+	sheet.Flag("check", "Only check that the document is current.").BoolVar(&c.check)
+
 	c.chosen = kingpin.MustParse(app.Parse(args))
 	return &c
 }
--- a/lentilload/report/document.go
+++ b/lentilload/report/document.go
@@ -68,14 +68,26 @@
 
 // replacePart puts text between the marks of a document.
 func replacePart(document string, text []byte) error {
-	data, err := os.ReadFile(document)
+	next, err := WithPart(document, text)
 	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(document, next, 0o644); err != nil {
 		return merry.Wrap(err)
 	}
+	return nil
+}
+
+// WithPart returns a document with text between its marks.
+func WithPart(document string, text []byte) ([]byte, error) {
+	data, err := os.ReadFile(document)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
 	begin := bytes.Index(data, []byte(beginMark))
 	end := bytes.Index(data, []byte(endMark))
 	if begin < 0 || end < begin {
-		return merry.Errorf("%s: the marks of the generated part are missing", document)
+		return nil, merry.Errorf("%s: the marks of the generated part are missing", document)
 	}
 	var next bytes.Buffer
 	next.Write(data[:begin+len(beginMark)])
@@ -83,8 +95,5 @@
 	next.Write(text)
 	next.WriteString("\n")
 	next.Write(data[end:])
-	if err := os.WriteFile(document, next.Bytes(), 0o644); err != nil {
-		return merry.Wrap(err)
-	}
-	return nil
+	return next.Bytes(), nil
 }
--- a/lentilward/backend/queue.go
+++ b/lentilward/backend/queue.go
@@ -98,12 +98,16 @@
 	rescan := time.NewTicker(rescanPeriod)
 	defer rescan.Stop()
 	for {
+		if q.empty() {
+			rescan.Stop()
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case w := <-q.arrivals:
 			if !grant(w, nil) {
 				q.insert(w)
+				rescan.Reset(rescanPeriod)
 			}
 		case s := <-q.wakes:
 			q.serve(s)
@@ -119,6 +123,15 @@
 	q.lists[w.class] = slices.Insert(list, i, w)
 }
 
+func (q *queue) empty() bool {
+	for _, list := range q.lists {
+		if len(list) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // serve grants places on a server, or on any if it is nil, in order.
 func (q *queue) serve(s *blackboard.Server) {
 	q.turn++
