Refuse low priorities first, audit drains, script the loss of all instances

Cause: a service's priority had no effect; drains announced by servers and the loss of all instances had no experiment. The floor of reply times grew by 5% a second since limits move every 0.2 s, so in an overload of 8 s a queue on the servers passed for none.

The queues are a package of their own.

--- a/lentilload/audit/audit.go
+++ b/lentilload/audit/audit.go
@@ -31,6 +31,7 @@
 	ColdOverloads       int
 	CrashedServers      int
 	WorkAfterWithdrawal time.Duration
+	WorkAfterDrain      time.Duration
 	FalseNotRun         int
 	DoubleRuns          int
 	WrongAnswers        int
--- a/lentilload/audit/system.go
+++ b/lentilload/audit/system.go
@@ -12,6 +12,7 @@
 // checkServers counts overloads of cold servers and crashes.
 func (f *Findings) checkServers(e *Evidence) {
 	for _, x := range e.Ledger {
+		f.WorkAfterDrain = max(f.WorkAfterDrain, time.Duration(x.DrainingUs)*time.Microsecond)
 		if x.Cold && x.InFlight > x.Bears {
 			f.ColdOverloads++
 			f.example(fmt.Sprintf("cold overload: %s had %d in flight, bears %d, request %s from %s",
--- a/lentilload/faults.go
+++ b/lentilload/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -48,6 +49,9 @@
 		x.mu.Lock()
 		x.lost = append(x.lost, time.Now())
 		x.mu.Unlock()
+		if f.Target == "all" {
+			return x.killAll()
+		}
 		return x.instances.Kill(1 + n%len(x.options.callers))
 	case "replace":
 		return x.instances.Stop(1 + n%len(x.options.callers))
@@ -69,6 +73,15 @@
 	return nil
 }
 
+// killAll ends all instances at once.
+func (x *experiment) killAll() error {
+	var failed error
+	for i := range x.options.callers {
+		failed = errors.Join(failed, x.instances.Kill(1+i))
+	}
+	return failed
+}
+
 // poison sends the same harmful query through one instance after another.
 func (x *experiment) poison(ctx context.Context, f schedule.Fault, n int) {
 	var names []string
--- a/lentilload/report/result.go
+++ b/lentilload/report/result.go
@@ -92,6 +92,7 @@
 	ColdOverloads       int                     `json:"cold-overloads"`
 	CrashedServers      int                     `json:"crashed-servers"`
 	WorkAfterWithdrawal float64                 `json:"work-after-withdrawal-s"`
+	WorkAfterDrain      float64                 `json:"work-after-drain-s"`
 	FalseNotRun         int                     `json:"false-not-run"`
 	DoubleRuns          int                     `json:"double-runs"`
 	WrongAnswers        int                     `json:"wrong-answers"`
@@ -129,7 +130,8 @@
 		Name: name, Site: s.Name, Seed: seed,
 		ExtraLoad: round(f.ExtraLoad), Cut: f.Cut, MixedSnapshots: f.MixedSnapshots, FalseCoverage: f.FalseCoverage,
 		ColdOverloads: f.ColdOverloads, CrashedServers: f.CrashedServers,
-		WorkAfterWithdrawal: round(f.WorkAfterWithdrawal.Seconds()), FalseNotRun: f.FalseNotRun,
+		WorkAfterWithdrawal: round(f.WorkAfterWithdrawal.Seconds()),
+		WorkAfterDrain:      round(f.WorkAfterDrain.Seconds()), FalseNotRun: f.FalseNotRun,
 		DoubleRuns: f.DoubleRuns, WrongAnswers: f.WrongAnswers, RevertedChanges: f.RevertedChanges,
 		ConfigInForce: round(f.ConfigInForce.Seconds()), Classes: make(map[string]ClassFigures),
 		Refusals: make(map[string]int),
--- a/lentilstand/backend/fault.go
+++ b/lentilstand/backend/fault.go
@@ -64,6 +64,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = on
+	s.drainBegin = time.Now()
 }
 
 // Corrupt makes replies wrong: in "version", "matches" or "shard".
--- a/lentilstand/backend/server.go
+++ b/lentilstand/backend/server.go
@@ -56,6 +56,7 @@
 	warmRuns   uint32
 	cold       bool
 	draining   bool
+	drainBegin time.Time
 	inFlight   uint32
 	slowFactor float64
 	slowUntil  time.Time
@@ -227,6 +228,7 @@
 	e.Bears = s.Site.Group.ColdBears
 	s.entries = append(s.entries, e)
 	if s.draining {
+		e.DrainingUs = time.Since(s.drainBegin).Microseconds()
 		return version{}, backendpb.RefusalReason_REFUSAL_REASON_DRAINING
 	}
 	if e.Execute {
--- a/lentilward/backend/errors.go
+++ b/lentilward/backend/errors.go
@@ -16,8 +16,6 @@
 	ErrVersionGone = merry.Sentinel("version is gone")
 	// ErrNoServer means that no holder of the shard can be used.
 	ErrNoServer = merry.Sentinel("no backend server")
-	// ErrOverloaded means that the queue for the service is full.
-	ErrOverloaded = merry.Sentinel("too many requests wait")
 	// ErrLost means that the server went away during the call.
 	ErrLost = merry.Sentinel("backend server lost")
 	// ErrMismatch means that a reply was not the one asked for.
--- a/lentilward/backend/place.go
+++ b/lentilward/backend/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/lentilward/queue"
 )
 
 const (
@@ -44,10 +45,10 @@
 // context ends.
 func (r *Runner) acquire(ctx context.Context, q *Request, holders, tried []*blackboard.Server, service string) (*place, error) {
 	for ctx.Err() == nil {
-		if s := tryAcquire(holders, tried, q.Class); s != nil {
+		if s := queue.TryAcquire(holders, tried, q.Class); s != nil {
 			return r.localPlace(s), nil
 		}
-		anyUsable, anyWarm := usable(holders, tried)
+		anyUsable, anyWarm := queue.Usable(holders, tried)
 		if !anyUsable {
 			if !q.Patient || len(tried) > 0 {
 				return nil, ErrNoServer
@@ -69,7 +70,7 @@
 	if anyWarm {
 		return r.queuedPlace(ctx, q, holders, tried, service)
 	}
-	s := randomUsable(holders, tried)
+	s := queue.RandomUsable(holders, tried)
 	if s == nil || s.Owned() {
 		return r.queuedPlace(ctx, q, holders, tried, service)
 	}
@@ -84,11 +85,8 @@
 func (r *Runner) queuedPlace(ctx context.Context, q *Request, holders, tried []*blackboard.Server, service string) (*place, error) {
 	slice, cancel := context.WithTimeout(ctx, waitSlice)
 	defer cancel()
-	w := &waiter{
-		holders: holders, tried: tried, class: q.Class, deadline: q.Deadline,
-		granted: make(chan *blackboard.Server, 1),
-	}
-	s, err := r.queues.of(service).wait(slice, w)
+	w := &queue.Waiter{Holders: holders, Tried: tried, Class: q.Class, Deadline: q.Deadline}
+	s, err := r.queues.Of(service).Wait(slice, w)
 	if err != nil {
 		return nil, err
 	}
@@ -140,11 +138,8 @@
 		return Permit{}
 	}
 	deadline, _ := ctx.Deadline()
-	w := &waiter{
-		holders: []*blackboard.Server{s}, class: class, deadline: deadline,
-		granted: make(chan *blackboard.Server, 1),
-	}
-	if _, err := r.queues.of(s.Service).wait(ctx, w); err != nil {
+	w := &queue.Waiter{Holders: []*blackboard.Server{s}, Class: class, Deadline: deadline}
+	if _, err := r.queues.Of(s.Service).Wait(ctx, w); err != nil {
 		return Permit{}
 	}
 	p := r.localPlace(s)
--- a/lentilward/backend/runner.go
+++ b/lentilward/backend/runner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/lentilward/queue"
 )
 
 const (
@@ -23,7 +24,7 @@
 	instance string
 	policy   Policy
 	log      *slog.Logger
-	queues   *queues
+	queues   *queue.Set
 	// Permit asks the owner of a cold server for a place.
 	Permit func(ctx context.Context, s *blackboard.Server, boot uint64, class blackboard.Class) (Permit, error)
 }
@@ -34,7 +35,7 @@
 		instance: instance,
 		policy:   policy,
 		log:      log,
-		queues:   &queues{ctx: ctx},
+		queues:   queue.NewSet(ctx),
 		Permit: func(context.Context, *blackboard.Server, uint64, blackboard.Class) (Permit, error) {
 			return Permit{}, ErrNoServer
 		},
@@ -43,7 +44,7 @@
 
 // Wake tells the queue of a server's service that the server may have room.
 func (r *Runner) Wake(s *blackboard.Server) {
-	r.queues.of(s.Service).wake(s)
+	r.queues.Of(s.Service).Wake(s)
 }
 
 // ExpectedWait estimates how long a new task of a class waits for a server of
@@ -52,7 +53,7 @@
 	if r.policy.Plain {
 		return 0
 	}
-	ahead := r.queues.of(routes.Service.Name).ahead(class)
+	ahead := r.queues.Of(routes.Service.Name).Ahead(class)
 	if ahead == 0 {
 		return 0
 	}
@@ -154,7 +155,7 @@
 func (s *shardRun) awaitHedge(ctx context.Context, first []*blackboard.Server) {
 	holders := s.task.Version.Holders[s.task.Shard]
 	for ctx.Err() == nil {
-		if _, anyWarm := usable(holders, first); !anyWarm {
+		if _, anyWarm := queue.Usable(holders, first); !anyWarm {
 			return
 		}
 		p, err := s.runner.queuedPlace(ctx, s.request, holders, first, s.task.Routes.Service.Name)
--- a/lentilward/blackboard/server.go
+++ b/lentilward/blackboard/server.go
@@ -163,7 +163,7 @@
 	// freeRatio is the reply time over the floor that shows none.
 	freeRatio = 1.2
 	// floorGrowth lets the floor follow a server that became slower.
-	floorGrowth = 1.01
+	floorGrowth = 1.002
 )
 
 // Adapt moves the limit of a warm server by one step between least and the
--- a/lentilward/caller/admission.go
+++ b/lentilward/caller/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
@@ -114,6 +115,41 @@
 	return selected, nil
 }
 
+const (
+	// maxShardsInFlight bounds the shards that one instance searches at once.
+	maxShardsInFlight = 50_000
+	// priorities is the number of priorities of services.
+	priorities = 10
+)
+
+// capacity bounds the work of the whole instance. As it fills up, requests to
+// services of low priority are refused first.
+type capacity struct {
+	shards atomic.Int64
+	most   int64
+}
+
+// enter counts the shards of a request. Leave must be called at its end.
+func (c *capacity) enter(services []*blackboard.ServiceRoutes, class blackboard.Class) (leave func(), _ *refusal) {
+	var shards, priority int64
+	for _, r := range services {
+		if r.Pin != nil {
+			shards += int64(len(r.Pin.Holders))
+		}
+		priority = max(priority, int64(r.Service.Priority))
+	}
+	if class == blackboard.Urgent {
+		priority = priorities - 1
+	}
+	// The lowest priority may fill half, the highest all.
+	most := c.most * (priorities + priority + 1) / (2 * priorities)
+	if c.shards.Add(shards) > most && shards > 0 {
+		c.shards.Add(-shards)
+		return nil, notRun(callerpb.Reason_REASON_OVERLOADED, "instance has too much work for priority %d", priority)
+	}
+	return func() { c.shards.Add(-shards) }, nil
+}
+
 // limit counts a request towards the limits of its services. Leave must be
 // called at the request's end.
 func limit(services []*blackboard.ServiceRoutes, caller string, class blackboard.Class) (leave func(), _ *refusal) {
--- a/lentilward/caller/incomplete.go
+++ b/lentilward/caller/incomplete.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"lentilward.org/lentilward/backend"
+	"lentilward.org/lentilward/queue"
 	"lentilward.org/schema/callerpb"
 )
 
@@ -17,7 +18,7 @@
 		switch {
 		case p.err == nil:
 			continue
-		case errors.Is(p.err, backend.ErrOverloaded):
+		case errors.Is(p.err, queue.ErrOverloaded):
 			r.reason = callerpb.Reason_REASON_OVERLOADED
 		case errors.Is(p.err, context.DeadlineExceeded):
 			r.reason = callerpb.Reason_REASON_DEADLINE
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -28,6 +28,7 @@
 	log       *slog.Logger
 	policy    backend.Policy
 	admission admission
+	capacity  capacity
 	shapes    shapes
 }
 
@@ -35,7 +36,7 @@
 func New(board *blackboard.Board, runner *backend.Runner, claims *platform.Claims, suspects *Suspects, metrics *monitor.Metrics, policy backend.Policy, log *slog.Logger) *Server {
 	return &Server{
 		board: board, runner: runner, claims: claims, suspects: suspects, metrics: metrics, policy: policy, log: log,
-		admission: admission{board: board},
+		admission: admission{board: board}, capacity: capacity{most: maxShardsInFlight},
 	}
 }
 
@@ -108,6 +109,11 @@
 		return nil, refused
 	}
 	defer leaveLimits()
+	leaveCapacity, refused := s.capacity.enter(services, q.Class)
+	if refused != nil {
+		return nil, refused
+	}
+	defer leaveCapacity()
 	if refused := s.foresee(q, services, begin); refused != nil {
 		return nil, refused
 	}
--- a/lentilward/caller/session_test.go
+++ b/lentilward/caller/session_test.go
@@ -18,7 +18,7 @@
 )
 
 // TestSessions runs whole sessions of callers against their golden files.
-// Commands: search, execute, server, publish, limit, phase, platform.
+// Commands: search, execute, server, publish, limit, capacity, phase, platform.
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var commands []*datadriven.TestData
@@ -61,6 +61,9 @@
 		t.routes[service.Name] = &r
 		t.publish()
 		return "ok"
+	case "capacity":
+		t.server.capacity.most = int64(number(d, "shards"))
+		return "ok"
 	case "phase":
 		own := *t.board.Own.Load()
 		own.Phase = map[string]blackboard.Phase{"starting": blackboard.Starting, "serving": blackboard.Serving, "stopping": blackboard.Stopping}[arg(d, "is")]
--- a/lentilward/backend/chooser.go
+++ b/lentilward/queue/chooser.go
@@ -1,4 +1,4 @@
-package backend
+package queue
 
 import (
 	"math/rand/v2"
@@ -15,9 +15,9 @@
 	unknownLatency = 1e6
 )
 
-// tryAcquire takes a place on the best holder that has one, or returns nil.
+// TryAcquire takes a place on the best holder that has one, or returns nil.
 // Servers in tried are left out.
-func tryAcquire(holders, tried []*blackboard.Server, class blackboard.Class) *blackboard.Server {
+func TryAcquire(holders, tried []*blackboard.Server, class blackboard.Class) *blackboard.Server {
 	var buffer [8]*blackboard.Server
 	candidates := buffer[:0]
 	preferCold := rand.IntN(coldTrickle) == 0
@@ -68,9 +68,9 @@
 	return float64(s.InFlight.Load()+1) * latency * (1 + noise*rand.Float64())
 }
 
-// usable tells whether any holder not tried yet could take work, and whether a
+// Usable tells whether any holder not tried yet could take work, and whether a
 // warm one could.
-func usable(holders, tried []*blackboard.Server) (anyUsable, anyWarm bool) {
+func Usable(holders, tried []*blackboard.Server) (anyUsable, anyWarm bool) {
 	for _, s := range holders {
 		if !s.Usable() || slices.Contains(tried, s) {
 			continue
@@ -83,8 +83,8 @@
 	return anyUsable, anyWarm
 }
 
-// randomUsable returns any holder not tried yet that could take work.
-func randomUsable(holders, tried []*blackboard.Server) *blackboard.Server {
+// RandomUsable returns any holder not tried yet that could take work.
+func RandomUsable(holders, tried []*blackboard.Server) *blackboard.Server {
 	if len(holders) == 0 {
 		return nil
 	}
--- a/lentilward/backend/queue.go
+++ b/lentilward/queue/queue.go
@@ -1,4 +1,6 @@
-package backend
+// Package queue orders the tasks that wait for backend servers and gives them
+// places.
+package queue
 
 import (
 	"context"
@@ -7,9 +9,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"lentilward.org/lentilward/blackboard"
 )
 
+// ErrOverloaded means that too many tasks wait for the service.
+var ErrOverloaded = merry.Sentinel("too many requests wait")
+
 const (
 	// maxWaiting bounds the requests that wait for one service.
 	maxWaiting = 2048
@@ -21,38 +28,40 @@
 	wakeBuffer = 64
 )
 
-// waiter is one task that waits for a server.
-type waiter struct {
-	holders  []*blackboard.Server
-	tried    []*blackboard.Server
-	class    blackboard.Class
-	deadline time.Time
+// Waiter is one task that waits for a server.
+type Waiter struct {
+	// Holders are the servers that can run the task, Tried those that it must
+	// not have again.
+	Holders  []*blackboard.Server
+	Tried    []*blackboard.Server
+	Class    blackboard.Class
+	Deadline time.Time
 	granted  chan *blackboard.Server
 	// settled is set once by the one who grants or gives up.
 	settled atomic.Bool
 }
 
-// queue orders the tasks that wait for the servers of one service by class,
+// Queue orders the tasks that wait for the servers of one service by class,
 // then by deadline. One goroutine owns the lists.
-type queue struct {
-	arrivals chan *waiter
+type Queue struct {
+	arrivals chan *Waiter
 	wakes    chan *blackboard.Server
 	// waiting counts the tasks that wait, by class.
 	waiting [blackboard.Classes]atomic.Int64
-	lists   [blackboard.Classes][]*waiter
+	lists   [blackboard.Classes][]*Waiter
 	turn    int
 }
 
-func newQueue() *queue {
-	return &queue{
-		arrivals: make(chan *waiter, wakeBuffer),
+func newQueue() *Queue {
+	return &Queue{
+		arrivals: make(chan *Waiter, wakeBuffer),
 		wakes:    make(chan *blackboard.Server, wakeBuffer),
 	}
 }
 
-// wake reports room on a server.
-func (q *queue) wake(s *blackboard.Server) {
-	if q.ahead(blackboard.Background) == 0 {
+// Wake reports room on a server.
+func (q *Queue) Wake(s *blackboard.Server) {
+	if q.Ahead(blackboard.Background) == 0 {
 		return
 	}
 	select {
@@ -61,8 +70,8 @@
 	}
 }
 
-// ahead returns the number of tasks that go before a new one of a class.
-func (q *queue) ahead(class blackboard.Class) int64 {
+// Ahead returns the number of tasks that go before a new one of a class.
+func (q *Queue) Ahead(class blackboard.Class) int64 {
 	var n int64
 	for c := range class + 1 {
 		n += q.waiting[c].Load()
@@ -70,13 +79,14 @@
 	return n
 }
 
-// wait returns a server with a place taken, or the context's error.
-func (q *queue) wait(ctx context.Context, w *waiter) (*blackboard.Server, error) {
-	if q.ahead(blackboard.Background) >= maxWaiting {
+// Wait returns a server with a place taken, or the context's error.
+func (q *Queue) Wait(ctx context.Context, w *Waiter) (*blackboard.Server, error) {
+	w.granted = make(chan *blackboard.Server, 1)
+	if q.Ahead(blackboard.Background) >= maxWaiting {
 		return nil, ErrOverloaded
 	}
-	q.waiting[w.class].Add(1)
-	defer q.waiting[w.class].Add(-1)
+	q.waiting[w.Class].Add(1)
+	defer q.waiting[w.Class].Add(-1)
 	select {
 	case q.arrivals <- w:
 	case <-ctx.Done():
@@ -94,7 +104,7 @@
 }
 
 // run serves the queue until the context ends.
-func (q *queue) run(ctx context.Context) {
+func (q *Queue) run(ctx context.Context) {
 	rescan := time.NewTicker(rescanPeriod)
 	defer rescan.Stop()
 	for {
@@ -117,13 +127,13 @@
 	}
 }
 
-func (q *queue) insert(w *waiter) {
-	list := q.lists[w.class]
-	i, _ := slices.BinarySearchFunc(list, w, func(a, b *waiter) int { return a.deadline.Compare(b.deadline) })
-	q.lists[w.class] = slices.Insert(list, i, w)
+func (q *Queue) insert(w *Waiter) {
+	list := q.lists[w.Class]
+	i, _ := slices.BinarySearchFunc(list, w, func(a, b *Waiter) int { return a.Deadline.Compare(b.Deadline) })
+	q.lists[w.Class] = slices.Insert(list, i, w)
 }
 
-func (q *queue) empty() bool {
+func (q *Queue) empty() bool {
 	for _, list := range q.lists {
 		if len(list) > 0 {
 			return false
@@ -133,25 +143,25 @@
 }
 
 // serve grants places on a server, or on any if it is nil, in order.
-func (q *queue) serve(s *blackboard.Server) {
+func (q *Queue) serve(s *blackboard.Server) {
 	q.turn++
 	order := [blackboard.Classes]blackboard.Class{blackboard.Urgent, blackboard.Interactive, blackboard.Background}
 	if q.turn%fairTurn == 0 {
 		slices.Reverse(order[:])
 	}
 	for _, class := range order {
-		q.lists[class] = slices.DeleteFunc(q.lists[class], func(w *waiter) bool {
+		q.lists[class] = slices.DeleteFunc(q.lists[class], func(w *Waiter) bool {
 			return w.settled.Load() || grant(w, s)
 		})
 	}
 }
 
 // grant gives a waiter a place, on the server if it is not nil.
-func grant(w *waiter, s *blackboard.Server) bool {
-	if s != nil && !slices.Contains(w.holders, s) {
+func grant(w *Waiter, s *blackboard.Server) bool {
+	if s != nil && !slices.Contains(w.Holders, s) {
 		return false
 	}
-	got := tryAcquire(w.holders, w.tried, w.class)
+	got := TryAcquire(w.Holders, w.Tried, w.Class)
 	if got == nil {
 		return false
 	}
@@ -163,20 +173,25 @@
 	return true
 }
 
-// queues has the queue of each service.
-type queues struct {
+// Set has the queue of each service.
+type Set struct {
 	ctx       context.Context
 	byService sync.Map
 }
 
-// of returns the queue of a service and starts it if there is none.
-func (q *queues) of(service string) *queue {
+// NewSet returns a set whose queues are served until the context ends.
+func NewSet(ctx context.Context) *Set {
+	return &Set{ctx: ctx}
+}
+
+// Of returns the queue of a service and starts it if there is none.
+func (q *Set) Of(service string) *Queue {
 	if x, ok := q.byService.Load(service); ok {
-		return x.(*queue)
+		return x.(*Queue)
 	}
 	x, loaded := q.byService.LoadOrStore(service, newQueue())
 	if !loaded {
-		go x.(*queue).run(q.ctx)
+		go x.(*Queue).run(q.ctx)
 	}
-	return x.(*queue)
+	return x.(*Queue)
 }
