Leave restarted instances out of the cost

Cause: in total-loss the peer traffic of restarted instances came out as -58 KB a second. Change: an instance whose counters went back is left out.

--- a/lentilload/report/result.go
+++ b/lentilload/report/result.go
@@ -48,7 +48,8 @@
 	var used instance.Cost
 	n := 0
 	for i := range before {
-		if after[i].CPUSeconds < before[i].CPUSeconds || before[i].CPUSeconds == 0 {
+		restarted := after[i].CPUSeconds < before[i].CPUSeconds || after[i].PeerBytes < before[i].PeerBytes
+		if restarted || before[i].CPUSeconds == 0 {
 			continue
 		}
 		n++
