--- a/lentilward/fleet/fleet.go
+++ b/lentilward/fleet/fleet.go
@@ -34,6 +34,7 @@
 	// warm has the servers whose limit was raised since they became warm.
 	warm   map[*blackboard.Server]bool
 	asking atomic.Bool
+	warmth pacer
 	// Wake tells the queues that a server may have room.
 	Wake func(*blackboard.Server)
 	// AskWarmth asks peers which of the servers they know to be warm.
