--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 NAME ?= steady
 SEED ?= 1
 
-.PHONY: build demo test generate experiment report
+.PHONY: build demo test generate experiment report capacity
 
 build:
 	mkdir -p bin
@@ -24,3 +24,6 @@
 
 report: build
 	bin/lentilload report out --document docs/MEASUREMENTS.md --plots docs/plots
+
+capacity: build
+	bin/lentilload capacity docs/slopes.toml --document docs/CAPACITY.md
--- a/lentilward/backend/bench_test.go
+++ b/lentilward/backend/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 
 	"google.golang.org/grpc"
@@ -34,7 +35,12 @@
 	backendpb.RegisterBackendServer(g, echoServer{})
 	go g.Serve(l)
 	defer g.Stop()
-	conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	var bytes atomic.Int64
+	conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			return countedConn{c, &bytes}, err
+		}))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -48,4 +54,23 @@
 			}
 		}
 	})
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+}
+
+// countedConn counts the bytes of both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,6 +21,8 @@
 for p in lentilward lentilctl lentilstand lentilload; do
 	go build -o "bin/$p" "./$p"
 done
+echo "== capacity sheet is current"
+bin/lentilload capacity docs/slopes.toml --document docs/CAPACITY.md --check
 if [ -s KNOWN-RED.txt ]; then
 	echo "== known red, passed over"
 	cat KNOWN-RED.txt
