--- a/lentilctl/caller/client.go
+++ b/lentilctl/caller/client.go
@@ -13,11 +13,11 @@
 	"github.com/google/uuid"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
 	"lentilward.org/lentilctl/render"
 	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/dial"
 )
 
 // Errors by what is certain about the request.
@@ -163,10 +163,9 @@
 	defer cancel()
 	var last error
 	for _, address := range c.Instances {
-		conn, err := grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
+		conn, err := dial.Parse(address)
 		if err != nil {
-			return merry.Wrap(err)
+			return err
 		}
 		err = send(ctx, callerpb.NewCallerClient(conn))
 		conn.Close()
--- a/lentilctl/operator/client.go
+++ b/lentilctl/operator/client.go
@@ -9,11 +9,10 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"lentilward.org/schema/dial"
 	"lentilward.org/schema/operatorpb"
 )
 
@@ -56,8 +55,7 @@
 }
 
 func callOne(ctx context.Context, address string, call func(context.Context, operatorpb.OperatorClient) error) error {
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
+	conn, err := dial.Parse(address)
 	if err != nil {
 		return err
 	}
--- a/lentilload/caller/sender.go
+++ b/lentilload/caller/sender.go
@@ -10,13 +10,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
 	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/dial"
 )
 
 const (
@@ -46,10 +45,9 @@
 func NewSender(ctx context.Context, callers, monitors []string) (*Sender, error) {
 	s := &Sender{}
 	for i, address := range callers {
-		conn, err := grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
+		conn, err := dial.Parse(address)
 		if err != nil {
-			return nil, merry.Wrap(err)
+			return nil, err
 		}
 		x := &instance{client: callerpb.NewCallerClient(conn), health: "http://" + monitors[i] + "/readyz"}
 		s.instances = append(s.instances, x)
--- a/lentilload/operator/operator.go
+++ b/lentilload/operator/operator.go
@@ -9,11 +9,10 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"lentilward.org/schema/dial"
 	"lentilward.org/schema/operatorpb"
 )
 
@@ -53,10 +52,9 @@
 func New(addresses []string) (*Operators, error) {
 	o := &Operators{}
 	for _, a := range addresses {
-		conn, err := grpc.NewClient("passthrough:///"+a,
-			grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
+		conn, err := dial.Parse(a)
 		if err != nil {
-			return nil, merry.Wrap(err)
+			return nil, err
 		}
 		o.clients = append(o.clients, operatorpb.NewOperatorClient(conn))
 	}
--- a/lentilload/stand/stand.go
+++ b/lentilload/stand/stand.go
@@ -8,9 +8,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
+	"lentilward.org/schema/dial"
 	"lentilward.org/schema/standpb"
 )
 
@@ -21,9 +20,9 @@
 
 // New returns the stand-ins at an address.
 func New(address string) (*Stand, error) {
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := dial.Parse(address)
 	if err != nil {
-		return nil, merry.Wrap(err)
+		return nil, err
 	}
 	return &Stand{client: standpb.NewStandClient(conn)}, nil
 }
--- a/lentilward/caller/admission.go
+++ b/lentilward/caller/admission.go
@@ -14,7 +14,6 @@
 const (
 	maxRequestID   = 64
 	maxCallerName  = 64
-	maxQuery       = 4096
 	maxPayload     = 1 << 20
 	maxServices    = 4096
 	largestTimeout = time.Minute
--- a/lentilward/caller/bench_test.go
+++ b/lentilward/caller/bench_test.go
@@ -14,6 +14,7 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/backendpb"
 	"lentilward.org/schema/callerpb"
 )
@@ -84,5 +85,5 @@
 	board.Routes.Store(&blackboard.Routes{Services: map[string]*blackboard.ServiceRoutes{"s": r}, Revision: 1})
 	log := slog.New(slog.DiscardHandler)
 	return New(board, backend.New(ctx, "bench", backend.Policy{}, log), platform.NewClaims(nil, "bench"),
-		NewSuspects(board), monitor.NewMetrics(), backend.Policy{}, log)
+		suspect.New(board), monitor.NewMetrics(), backend.Policy{}, log)
 }
--- a/lentilward/caller/fake_test.go
+++ b/lentilward/caller/fake_test.go
@@ -17,6 +17,7 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/backendpb"
 	"lentilward.org/schema/callerpb"
 )
@@ -105,7 +106,7 @@
 	}
 	log := slog.New(slog.DiscardHandler)
 	runner := backend.New(ctx, "test", backend.Policy{}, log)
-	t.server = New(t.board, runner, platform.NewClaims(t.keyValue(), "test"), NewSuspects(t.board),
+	t.server = New(t.board, runner, platform.NewClaims(t.keyValue(), "test"), suspect.New(t.board),
 		monitor.NewMetrics(), backend.Policy{}, log)
 	t.add("billing", 2, 1000)
 	t.add("audit", 1, 2000)
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -11,6 +11,7 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/callerpb"
 )
 
@@ -23,17 +24,17 @@
 	board     *blackboard.Board
 	runner    *backend.Runner
 	claims    *platform.Claims
-	suspects  *Suspects
+	suspects  *suspect.List
 	metrics   *monitor.Metrics
 	log       *slog.Logger
 	policy    backend.Policy
 	admission admission
 	capacity  capacity
-	shapes    shapes
+	shapes    suspect.Shapes
 }
 
 // New returns a server.
-func New(board *blackboard.Board, runner *backend.Runner, claims *platform.Claims, suspects *Suspects, metrics *monitor.Metrics, policy backend.Policy, log *slog.Logger) *Server {
+func New(board *blackboard.Board, runner *backend.Runner, claims *platform.Claims, suspects *suspect.List, metrics *monitor.Metrics, policy backend.Policy, log *slog.Logger) *Server {
 	return &Server{
 		board: board, runner: runner, claims: claims, suspects: suspects, metrics: metrics, policy: policy, log: log,
 		admission: admission{board: board}, capacity: capacity{most: maxShardsInFlight},
@@ -132,8 +133,8 @@
 	if r.Query == "" {
 		return nil, 0, notRun(callerpb.Reason_REASON_INVALID, "query: must not be empty")
 	}
-	if len(r.Query) > maxQuery {
-		return nil, 0, notRun(callerpb.Reason_REASON_TOO_LARGE, "query: at most %d bytes", maxQuery)
+	if len(r.Query) > suspect.MaxQuery {
+		return nil, 0, notRun(callerpb.Reason_REASON_TOO_LARGE, "query: at most %d bytes", suspect.MaxQuery)
 	}
 	least = 1
 	if r.LeastCoverage != nil {
@@ -181,8 +182,8 @@
 		return nil, refused
 	}
 	parts := s.gather(ctx, q, services, c)
-	if q.Lost() > maxCrashes {
-		s.suspects.Crashed(ctx, fingerprintOf(q.Query), 1)
+	if q.Lost() > suspect.MaxCrashes {
+		s.suspects.Crashed(ctx, suspect.Fingerprint(q.Query), 1)
 	}
 	return parts, nil
 }
--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -22,6 +22,7 @@
 	"lentilward.org/lentilward/operator"
 	"lentilward.org/lentilward/peer"
 	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/callerpb"
 	"lentilward.org/schema/operatorpb"
 )
@@ -33,7 +34,7 @@
                blackboard: Config Routes Members Suspects Own
                    ^         ^         ^          ^
                    |         |         |          |
-operators -> operator.Server | member.Table  caller.Suspects
+operators -> operator.Server | member.Table  suspect.List
 platform  -> platform.Watcher|         ^          ^
                         fleet.Fleet    |          |
 peers     ----------------------- peer.Server, peer.Links
@@ -53,7 +54,7 @@
 	links    *peer.Links
 	permits  *peer.Permits
 	peers    *peer.Server
-	suspects *caller.Suspects
+	suspects *suspect.List
 	callers  *caller.Server
 	operator *operator.Server
 	metrics  *monitor.Metrics
@@ -79,7 +80,7 @@
 		links:    do.MustInvoke[*peer.Links](i),
 		permits:  do.MustInvoke[*peer.Permits](i),
 		peers:    do.MustInvoke[*peer.Server](i),
-		suspects: do.MustInvoke[*caller.Suspects](i),
+		suspects: do.MustInvoke[*suspect.List](i),
 		callers:  do.MustInvoke[*caller.Server](i),
 		operator: do.MustInvoke[*operator.Server](i),
 		metrics:  do.MustInvoke[*monitor.Metrics](i),
--- a/lentilward/fleet/watcher.go
+++ b/lentilward/fleet/watcher.go
@@ -8,10 +8,10 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/connectivity"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/schema/backendpb"
+	"lentilward.org/schema/dial"
 )
 
 const (
@@ -33,13 +33,9 @@
 	refresh chan struct{}
 }
 
-// newWatcher prepares a connection of its own to the server. What grpc brings
-// for discovery, balancing and retries stays off.
+// newWatcher prepares a connection of its own to the server.
 func newWatcher(s *blackboard.Server, reports chan<- report) (*watcher, error) {
-	conn, err := grpc.NewClient("passthrough:///"+s.Address.String(),
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithDisableRetry(),
+	conn, err := dial.New(s.Address,
 		grpc.WithIdleTimeout(0),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
--- a/lentilward/platform/keyvalue.go
+++ b/lentilward/platform/keyvalue.go
@@ -9,11 +9,10 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"lentilward.org/schema/dial"
 	"lentilward.org/schema/platformpb"
 )
 
@@ -62,11 +61,9 @@
 // Dial returns the platform's services at an address. The connection is made
 // when it is first used.
 func Dial(address netip.AddrPort) (*KeyValue, List, error) {
-	conn, err := grpc.NewClient("passthrough:///"+address.String(),
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry())
+	conn, err := dial.New(address)
 	if err != nil {
-		return nil, nil, merry.Wrap(err)
+		return nil, nil, err
 	}
 	return newKeyValue(platformpb.NewKeyValueClient(conn)), newList(platformpb.NewInstancesClient(conn)), nil
 }
--- a/lentilward/wire.go
+++ b/lentilward/wire.go
@@ -17,6 +17,7 @@
 	"lentilward.org/lentilward/operator"
 	"lentilward.org/lentilward/peer"
 	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/suspect"
 )
 
 // platformServices are the services at the platform's address.
@@ -101,12 +102,12 @@
 
 func provideServers(i do.Injector) {
 	do.Provide(i, func(do.Injector) (*monitor.Metrics, error) { return monitor.NewMetrics(), nil })
-	do.Provide(i, func(i do.Injector) (*caller.Suspects, error) {
-		return caller.NewSuspects(do.MustInvoke[*blackboard.Board](i)), nil
+	do.Provide(i, func(i do.Injector) (*suspect.List, error) {
+		return suspect.New(do.MustInvoke[*blackboard.Board](i)), nil
 	})
 	do.Provide(i, func(i do.Injector) (*caller.Server, error) {
 		return caller.New(do.MustInvoke[*blackboard.Board](i), do.MustInvoke[*backend.Runner](i),
-			do.MustInvoke[*platform.Claims](i), do.MustInvoke[*caller.Suspects](i),
+			do.MustInvoke[*platform.Claims](i), do.MustInvoke[*suspect.List](i),
 			do.MustInvoke[*monitor.Metrics](i), do.MustInvoke[backend.Policy](i), do.MustInvoke[*slog.Logger](i)), nil
 	})
 	do.Provide(i, func(i do.Injector) (*operator.Server, error) {
