Reconnect within a second, and ride out a moment without the platform

Cause: experiments failed now and then as they began, with the word that an instance was down. The instances had dialled the platform before it listened; gRPC then fails every call at once until its next attempt, whose delay doubles from 1 s up to 2 minutes. After a long outage an instance would have been without the platform for up to 2 minutes more. The command line took the refused connection in the text of the answer for its own.

Change: every connection backs off from 0.1 to 1 s; a change reads the head up to five times before it is refused; the command line looks at its own connection error only.

--- a/lentilctl/caller/client.go
+++ b/lentilctl/caller/client.go
@@ -12,7 +12,6 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"lentilward.org/lentilctl/render"
@@ -184,7 +183,7 @@
 func elsewhere(err error) bool {
 	r, ok := refusal(err)
 	if !ok {
-		return status.Code(err) == codes.Unavailable && strings.Contains(err.Error(), "connection refused")
+		return dial.IsRefused(err)
 	}
 	if r.Outcome != callerpb.Outcome_OUTCOME_NOT_RUN {
 		return false
--- a/lentilctl/operator/client.go
+++ b/lentilctl/operator/client.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -80,7 +79,7 @@
 	case codes.Unknown, codes.DeadlineExceeded, codes.Canceled:
 		return merry.Prepend(ErrUncertain, s.Message())
 	case codes.Unavailable:
-		if strings.Contains(s.Message(), "connection refused") {
+		if dial.IsRefused(err) {
 			return merry.Errorf("instance %s is down; name another one with --instance", address)
 		}
 	}
--- a/lentilload/caller/sender.go
+++ b/lentilload/caller/sender.go
@@ -195,5 +195,5 @@
 		}
 	}
 	r.End = Cut
-	return s.Code() == codes.Unavailable && strings.Contains(r.Message, "connection refused")
+	return dial.IsRefused(err)
 }
--- a/lentilward/fleet/watcher.go
+++ b/lentilward/fleet/watcher.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/connectivity"
 
 	"lentilward.org/lentilward/blackboard"
@@ -19,10 +18,6 @@
 	statusPeriod = time.Second
 	// statusTimeout bounds one status poll.
 	statusTimeout = time.Second
-	// Connection attempts back off from the least to the largest delay.
-	leastReconnectDelay   = 100 * time.Millisecond
-	largestReconnectDelay = time.Second
-	connectTimeout        = 2 * time.Second
 )
 
 // watcher keeps the connection to one server and polls its status.
@@ -35,14 +30,7 @@
 
 // newWatcher prepares a connection of its own to the server.
 func newWatcher(s *blackboard.Server, reports chan<- report) (*watcher, error) {
-	conn, err := dial.New(s.Address,
-		grpc.WithIdleTimeout(0),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff: backoff.Config{
-				BaseDelay: leastReconnectDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: largestReconnectDelay,
-			},
-			MinConnectTimeout: connectTimeout,
-		}))
+	conn, err := dial.New(s.Address, grpc.WithIdleTimeout(0))
 	if err != nil {
 		return nil, err
 	}
--- a/lentilward/platform/store.go
+++ b/lentilward/platform/store.go
@@ -19,6 +19,10 @@
 	maxChangeTries = 20
 	// retryDelay is the mean pause between two tries of a change.
 	retryDelay = 20 * time.Millisecond
+	// maxLoadTries bounds the reads of one try, and loadDelay is the mean pause
+	// between them.
+	maxLoadTries = 5
+	loadDelay    = 200 * time.Millisecond
 	// callTimeout bounds one call to the key-value service.
 	callTimeout = 2 * time.Second
 )
@@ -122,7 +126,7 @@
 func (s *Store) Change(ctx context.Context, id string, edit Edit) (_ *blackboard.Config, repeated bool, _ error) {
 	written := false
 	for range maxChangeTries {
-		c, revision, err := s.Load(ctx)
+		c, revision, err := s.loadPatiently(ctx)
 		if err != nil {
 			return nil, false, uncertain(written, err)
 		}
@@ -153,6 +157,18 @@
 	return nil, false, uncertain(written, ErrConflict)
 }
 
+// loadPatiently reads the newest configuration, again if the platform is away
+// for a moment only.
+func (s *Store) loadPatiently(ctx context.Context) (*blackboard.Config, uint64, error) {
+	for try := 1; ; try++ {
+		c, revision, err := s.Load(ctx)
+		if err == nil || !IsUnavailable(err) || try == maxLoadTries {
+			return c, revision, err
+		}
+		sleep(ctx, rand.N(2*loadDelay))
+	}
+}
+
 // uncertain marks an error after a write that got no answer.
 func uncertain(written bool, err error) error {
 	if written {
--- a/schema/dial/dial.go
+++ b/schema/dial/dial.go
@@ -4,10 +4,25 @@
 
 import (
 	"net/netip"
+	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	// Attempts to connect back off from the least to the largest delay.
+	leastDelay   = 100 * time.Millisecond
+	largestDelay = time.Second
+	delayGrowth  = 1.6
+	delayJitter  = 0.2
+	// connectTimeout bounds one attempt to connect.
+	connectTimeout = 2 * time.Second
 )
 
 // New returns a connection that is made when it is first used.
@@ -16,6 +31,12 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay: leastDelay, Multiplier: delayGrowth, Jitter: delayJitter, MaxDelay: largestDelay,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
 	}, options...)
 	conn, err := grpc.NewClient("passthrough:///"+address.String(), options...)
 	if err != nil {
@@ -32,3 +53,12 @@
 	}
 	return New(address)
 }
+
+// IsRefused tells whether nothing listens at the address, so that the call was
+// not sent.
+func IsRefused(err error) bool {
+	s := status.Convert(err)
+	return s.Code() == codes.Unavailable &&
+		strings.HasPrefix(s.Message(), "connection error") &&
+		strings.Contains(s.Message(), "connection refused")
+}
