--- a/lentilctl/main.go
+++ b/lentilctl/main.go
@@ -35,12 +35,22 @@
 // run executes one command line and returns the exit code.
 func run(args []string, out, errs io.Writer) int {
 	app := kingpin.New("lentilctl", help)
-	app.UsageWriter(out).ErrorWriter(errs).Terminate(nil)
+	// Help and completion end the command line before a command runs.
+	ended, code := false, 0
+	app.UsageWriter(out).ErrorWriter(errs).Terminate(func(c int) {
+		if !ended {
+			ended, code = true, c
+		}
+	})
 	output := app.Flag("output", "table or json.").Default("table").Enum("table", "json")
 	timeout := app.Flag("timeout", "Time for the whole command.").Default("10s").Duration()
 	var action func(p *render.Printer) error
 	register(app, timeout, &action)
-	if _, err := app.Parse(args); err != nil {
+	_, err := app.Parse(args)
+	if ended {
+		return code
+	}
+	if err != nil {
 		fmt.Fprintf(errs, "lentilctl: %v; try lentilctl --help\n", err)
 		return exitUsage
 	}
--- a/lentilward/blackboard/cell.go
+++ b/lentilward/blackboard/cell.go
@@ -40,14 +40,13 @@
 
 // Board has one cell per subject.
 type Board struct {
-	// Config is written by the platform's watcher and the peers, through
-	// Install.
+	// Config is written through Install, by whoever learns of a newer one.
 	Config Cell[Config]
 	// Routes is written by the backend controller.
 	Routes Cell[Routes]
 	// Members is written by the membership controller.
 	Members Cell[Members]
-	// Suspects is written by the poison controller.
+	// Suspects is written by suspect.List.
 	Suspects Cell[Suspects]
 	// Own is written by the core.
 	Own Cell[Own]
