Count instances that were never met towards a majority

Cause: a test that draws partitions and pauses at random (TestAtMostOneOwner) found two owners of one cold server: an instance that was cut off before it met anyone knew only itself, and one of one is a majority. The same would have come of any partition of more than a minute, when dead members are forgotten.

Ruled out: remembering dead members for longer, which only moves the moment.

Change: addresses of the platform's list and of the settings at which no member is known count as members that are not seen; the last list stands while the platform is away.

Price: with half of the listed instances gone, cold servers wait.

--- a/lentilward/blackboard/members.go
+++ b/lentilward/blackboard/members.go
@@ -44,6 +44,9 @@
 	Self string
 	// List is sorted by name.
 	List []Member
+	// Unmet is the number of addresses at which an instance should be, though
+	// none was met there, or none for long.
+	Unmet int
 	// Changed is when a member last joined or left.
 	Changed time.Time
 }
@@ -70,9 +73,9 @@
 }
 
 // Majority tells whether this instance sees more than half of all members
-// that have not left in good order.
+// that have not left in good order, those included that it never met.
 func (m *Members) Majority() bool {
-	known, live := 0, 0
+	known, live := m.Unmet, 0
 	for _, x := range m.List {
 		if x.State == Leaving {
 			continue
--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -59,6 +60,8 @@
 	operator *operator.Server
 	metrics  *monitor.Metrics
 	traffic  *peer.Traffic
+	// listed are the seeds when the platform's list was last read.
+	listed atomic.Pointer[[]netip.AddrPort]
 }
 
 // newCore collects the components and joins their function fields.
@@ -162,20 +165,27 @@
 	return others
 }
 
-// seeds lists the addresses of the settings and of the platform's list.
+// seeds lists the addresses of the settings and of the platform's list. While
+// the platform is away its last list stands.
 func (c *Core) seeds(ctx context.Context) []netip.AddrPort {
-	seeds := append([]netip.AddrPort(nil), c.options.Peers...)
 	ctx, cancel := context.WithTimeout(ctx, firstContact)
 	defer cancel()
 	list, err := c.list(ctx)
 	if err != nil {
 		c.log.Debug("cannot read the list of instances", "error", err)
+		if last := c.listed.Load(); last != nil {
+			return *last
+		}
 	}
+	seeds := append([]netip.AddrPort(nil), c.options.Peers...)
 	for _, i := range list {
 		if !i.Leaving && i.Address != c.options.Listen.Peers {
 			seeds = append(seeds, i.Address)
 		}
 	}
+	if err == nil {
+		c.listed.Store(&seeds)
+	}
 	return seeds
 }
 
--- a/lentilward/member/prober.go
+++ b/lentilward/member/prober.go
@@ -107,7 +107,9 @@
 			known[m.Address] = true
 		}
 	}
-	for _, address := range p.Seeds(ctx) {
+	seeds := p.Seeds(ctx)
+	p.table.SetSeeds(seeds)
+	for _, address := range seeds {
 		if !known[address] {
 			go p.ping(ctx, address)
 		}
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -39,6 +40,7 @@
 	mu      sync.Mutex
 	self    blackboard.Member
 	members map[string]*entry
+	seeds   []netip.AddrPort
 	changed time.Time
 }
 
@@ -76,6 +78,30 @@
 	t.publish()
 }
 
+// SetSeeds notes the addresses at which instances should be.
+func (t *Table) SetSeeds(seeds []netip.AddrPort) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seeds = seeds
+	t.publish()
+}
+
+// unmet counts the seeds at which no member is known. The caller holds mu.
+func (t *Table) unmet() int {
+	known := map[netip.AddrPort]bool{t.self.Address: true}
+	for _, e := range t.members {
+		known[e.Address] = true
+	}
+	n := 0
+	for _, address := range t.seeds {
+		if !known[address] {
+			known[address] = true
+			n++
+		}
+	}
+	return n
+}
+
 // Gossip returns what to tell next.
 func (t *Table) Gossip() Gossip {
 	t.mu.Lock()
@@ -211,7 +237,7 @@
 
 // publish writes the Members cell. The caller holds mu.
 func (t *Table) publish() {
-	view := &blackboard.Members{Self: t.self.Name, Changed: t.changed}
+	view := &blackboard.Members{Self: t.self.Name, Changed: t.changed, Unmet: t.unmet()}
 	view.List = append(view.List, t.describe())
 	for _, e := range t.members {
 		view.List = append(view.List, e.Member)
