Keep the place of a non-idempotent request on a cold server

Cause: found by reading: a non-idempotent request that ran into its deadline gave its place on a cold server back at once, though the server may go on running it; for searches the place stays taken for a while. A peer also told of a withdrawn server as warm.

Change: both kinds of request end their place in the same way; only usable servers are told of as warm. A test fails without the change.

--- a/lentilward/backend/attempt.go
+++ b/lentilward/backend/attempt.go
@@ -35,10 +35,7 @@
 		defer cancel()
 		reply, err := r.call(call, q, t, p.server, number)
 		done <- outcome{p.server, reply, err}
-		if errors.Is(err, context.DeadlineExceeded) {
-			time.Sleep(cancelGrace)
-		}
-		p.release(err == nil)
+		p.end(err)
 	}()
 }
 
--- a/lentilward/backend/execute.go
+++ b/lentilward/backend/execute.go
@@ -31,12 +31,13 @@
 		reply, err := p.server.Client.Execute(ctx, &backendpb.ExecuteRequest{
 			RequestId: q.ID, Service: routes.Service.Name, Payload: payload, Instance: r.instance,
 		})
-		p.release(err == nil)
 		if err == nil {
+			p.end(nil)
 			q.replied.Add(1)
 			return reply.Result, nil
 		}
 		err, notRun := classify(err)
+		p.end(err)
 		if !notRun {
 			return nil, err
 		}
--- a/lentilward/backend/place.go
+++ b/lentilward/backend/place.go
@@ -30,6 +30,17 @@
 	release func(proven bool)
 }
 
+// end gives the place back after a call that ended with a classified error. A cold server may still run a call that
+// was given up, so its place stays taken for a while.
+func (p *place) end(err error) {
+	gaveUp := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+	if p.cold && gaveUp {
+		time.AfterFunc(cancelGrace, func() { p.release(false) })
+		return
+	}
+	p.release(err == nil)
+}
+
 // Permit is the answer of the instance that owns a cold server.
 type Permit struct {
 	Granted bool
--- a/lentilward/backend/place_test.go
+++ b/lentilward/backend/place_test.go
@@ -8,6 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/schema/backendpb"
 	"lentilward.org/schema/callerpb"
@@ -127,3 +130,24 @@
 		})
 	}
 }
+
+// The same holds for a non-idempotent request.
+func TestColdPlaceOutlivesExecute(t *testing.T) {
+	withBench(t, 1, func(t *testing.T, b *bench) {
+		b.cool(0, true)
+		b.clients[0].err = status.Error(codes.DeadlineExceeded, "too late")
+		q := request(time.Second)
+		ctx, cancel := context.WithDeadline(context.Background(), q.Deadline)
+		defer cancel()
+		if _, err := b.runner.Execute(ctx, q, b.task.Routes, nil, ctx.Err); !errors.Is(err, errDeadline) {
+			t.Fatal(err)
+		}
+		if b.servers[0].InFlight.Load() != 1 {
+			t.Error("the place was given back while the server may still run the request")
+		}
+		time.Sleep(time.Second)
+		if b.servers[0].InFlight.Load() != 0 {
+			t.Error("the place was never given back")
+		}
+	})
+}
--- a/lentilward/fleet/warmth.go
+++ b/lentilward/fleet/warmth.go
@@ -84,7 +84,7 @@
 func KnownWarm(routes *blackboard.Routes, question []Warmth) []Warmth {
 	var warm []Warmth
 	for _, q := range question {
-		if s := routes.Servers[q.Address]; s != nil && s.Warm() && s.BootID.Load() == q.BootID {
+		if s := routes.Servers[q.Address]; s != nil && s.Usable() && s.Warm() && s.BootID.Load() == q.BootID {
 			warm = append(warm, q)
 		}
 	}
