Count the calls to the platform

Cause: the platform's budget could not be compared with what instances use. Change: an instance counts its calls, a run reports them a second.

--- a/lentilload/instance/cost.go
+++ b/lentilload/instance/cost.go
@@ -22,6 +22,8 @@
 	Attempts float64
 	// PeerBytes were sent to and received from peers.
 	PeerBytes float64
+	// PlatformCalls were made to the platform.
+	PlatformCalls float64
 }
 
 // Scrape reads the cost of an instance from its metrics.
@@ -49,6 +51,8 @@
 			c.Attempts = value
 		case "lentilward_peer_sent_bytes", "lentilward_peer_received_bytes":
 			c.PeerBytes += value
+		case "lentilward_platform_calls":
+			c.PlatformCalls = value
 		}
 	}
 	return c, lines.Err()
--- a/lentilload/report/result.go
+++ b/lentilload/report/result.go
@@ -41,6 +41,7 @@
 	ResidentMB     float64 `json:"resident-mb"`
 	PeerBytesPerS  float64 `json:"peer-bytes-per-s"`
 	AttemptsPerSec float64 `json:"attempts-per-s"`
+	PlatformPerSec float64 `json:"platform-calls-per-s"`
 }
 
 // NewCost compares what instances had used before and after a time.
@@ -56,6 +57,7 @@
 		used.CPUSeconds += after[i].CPUSeconds - before[i].CPUSeconds
 		used.Attempts += after[i].Attempts - before[i].Attempts
 		used.PeerBytes += after[i].PeerBytes - before[i].PeerBytes
+		used.PlatformCalls += after[i].PlatformCalls - before[i].PlatformCalls
 		used.ResidentBytes += after[i].ResidentBytes
 	}
 	if n == 0 {
@@ -67,6 +69,7 @@
 		CPUPerAttempt: round(used.CPUSeconds / math.Max(1, used.Attempts) * 1e6),
 		ResidentMB:    round(used.ResidentBytes / float64(n) / (1 << 20)),
 		PeerBytesPerS: round(used.PeerBytes / seconds), AttemptsPerSec: round(used.Attempts / seconds),
+		PlatformPerSec: round(used.PlatformCalls / seconds),
 	}
 }
 
--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -90,6 +90,7 @@
 		traffic:  do.MustInvoke[*peer.Traffic](i),
 	}
 	c.join()
+	c.registerGauges(services.calls)
 	return c, nil
 }
 
@@ -117,6 +118,10 @@
 	c.watcher.Rank = func() int { return c.board.Members.Load().Rank("config") }
 	c.watcher.Installed = c.prober.Nudge
 	c.operator.Installed = c.prober.Nudge
+}
+
+// registerGauges shows what other components count.
+func (c *Core) registerGauges(platformCalls *atomic.Int64) {
 	c.metrics.Gauge("lentilward_config_revision", "Revision of the configuration in force.",
 		func() float64 { return float64(c.board.Config.Load().Revision) })
 	c.metrics.Gauge("lentilward_members", "Instances that take work.",
@@ -127,6 +132,8 @@
 		func() float64 { return float64(c.traffic.Received.Load()) })
 	c.metrics.Gauge("lentilward_peer_malformed_frames", "Frames from peers that could not be read.",
 		func() float64 { return float64(c.traffic.Malformed.Load()) })
+	c.metrics.Gauge("lentilward_platform_calls", "Calls to the platform.",
+		func() float64 { return float64(platformCalls.Load()) })
 }
 
 // permit asks the owner of a cold server for a place.
--- a/lentilward/platform/keyvalue.go
+++ b/lentilward/platform/keyvalue.go
@@ -6,9 +6,11 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -58,10 +60,14 @@
 // List returns the platform's list of instances, which lags.
 type List func(ctx context.Context) ([]Instance, error)
 
-// Dial returns the platform's services at an address. The connection is made
-// when it is first used.
-func Dial(address netip.AddrPort) (*KeyValue, List, error) {
-	conn, err := dial.New(address)
+// Dial returns the platform's services at an address and counts the calls. The
+// connection is made when it is first used.
+func Dial(address netip.AddrPort, calls *atomic.Int64) (*KeyValue, List, error) {
+	count := func(ctx context.Context, method string, request, reply any, conn *grpc.ClientConn, invoke grpc.UnaryInvoker, options ...grpc.CallOption) error {
+		calls.Add(1)
+		return invoke(ctx, method, request, reply, conn, options...)
+	}
+	conn, err := dial.New(address, grpc.WithUnaryInterceptor(count))
 	if err != nil {
 		return nil, nil, err
 	}
--- a/lentilward/wire.go
+++ b/lentilward/wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -24,6 +25,7 @@
 type platformServices struct {
 	keyValue  *platform.KeyValue
 	instances platform.List
+	calls     *atomic.Int64
 }
 
 // provide registers how each component is made. Life ends with the process.
@@ -59,8 +61,9 @@
 
 func providePlatform(i do.Injector) {
 	do.Provide(i, func(i do.Injector) (platformServices, error) {
-		kv, list, err := platform.Dial(do.MustInvoke[*Options](i).Platform.Address)
-		return platformServices{kv, list}, err
+		calls := new(atomic.Int64)
+		kv, list, err := platform.Dial(do.MustInvoke[*Options](i).Platform.Address, calls)
+		return platformServices{kv, list, calls}, err
 	})
 	do.Provide(i, func(i do.Injector) (*platform.Store, error) {
 		return platform.NewStore(do.MustInvoke[platformServices](i).keyValue, do.MustInvoke[*blackboard.Board](i)), nil
