Wait for a full server rather than spill to a slow one

When the fast holder of a shard had no free place, a task went at once to the slow one, which always has one; and a hedge that found the budget spent was never tried again.

Ruled out: detection, since slow servers are known after one hedge; the room on the fast holder, which bears all at about 0.6 of its slots.

Change: a holder that takes more than 4 times as long as the fastest gets no work while the fastest can be waited for; a hedge without budget is tried again after 20 ms.

--- a/lentilward/backend/runner.go
+++ b/lentilward/backend/runner.go
@@ -17,6 +17,9 @@
 	maxAttempts = 4
 	// freeRetries is the number of retries per shard that cost no budget.
 	freeRetries = 1
+	// hedgePause is the time until a hedge that the budget did not allow is
+	// tried again.
+	hedgePause = 20 * time.Millisecond
 )
 
 // Runner runs the tasks of requests.
@@ -126,7 +129,9 @@
 		case <-hedge.C:
 			go s.awaitHedge(ctx, s.tried[:1:1])
 		case p := <-s.hedgePlace:
-			s.hedge(ctx, p)
+			if !s.hedge(ctx, p) {
+				hedge.Reset(hedgePause)
+			}
 		case <-ctx.Done():
 			return Result{Err: ctx.Err()}
 		}
@@ -174,15 +179,20 @@
 	}
 }
 
-// hedge starts a second call, if it is still of use and the budget allows it.
-func (s *shardRun) hedge(ctx context.Context, p *place) {
-	useless := s.inFlight != 1 || slices.Contains(s.tried, p.server) || p.cold
-	if useless || !s.task.Routes.State.Budget.Spend() {
+// hedge starts a second call, if it is still of use. It returns false if the
+// budget does not allow it now.
+func (s *shardRun) hedge(ctx context.Context, p *place) bool {
+	if s.inFlight != 1 || slices.Contains(s.tried, p.server) || p.cold {
 		p.release(false)
-		return
+		return true
+	}
+	if !s.task.Routes.State.Budget.Spend() {
+		p.release(false)
+		return false
 	}
 	s.request.hedges.Add(1)
 	s.start(ctx, p)
+	return true
 }
 
 // retry starts another call after all others have failed.
--- a/lentilward/queue/chooser.go
+++ b/lentilward/queue/chooser.go
@@ -11,6 +11,9 @@
 	// coldTrickle is the inverse of the share of choices that prefer a cold
 	// server of this instance's, so that it warms while others bear the load.
 	coldTrickle = 4
+	// slowFactor is how many times as long as the fastest holder a server may
+	// take and still get work.
+	slowFactor = 4
 	// unknownLatency stands for a server without replies, in nanoseconds.
 	unknownLatency = 1e6
 )
@@ -26,6 +29,7 @@
 			candidates = append(candidates, s)
 		}
 	}
+	candidates = withoutSlow(candidates)
 	for len(candidates) > 0 {
 		i := best(candidates, preferCold)
 		if candidates[i].TryAcquire(class) {
@@ -36,6 +40,24 @@
 	return nil
 }
 
+// withoutSlow leaves out servers that take many times as long as the fastest
+// one, even if that one is full: to wait for it is better than to spill over.
+func withoutSlow(candidates []*blackboard.Server) []*blackboard.Server {
+	if len(candidates) < 2 {
+		return candidates
+	}
+	fastest := candidates[0].Latency()
+	for _, s := range candidates {
+		fastest = min(fastest, s.Latency())
+	}
+	if fastest == 0 {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(s *blackboard.Server) bool {
+		return s.Latency() > slowFactor*fastest
+	})
+}
+
 // admits tells whether this instance decides alone about work for the server.
 func admits(s *blackboard.Server) bool {
 	return s.Usable() && (s.Warm() || s.Owned())
