--- a/lentilload/capacity/capacity.go
+++ b/lentilload/capacity/capacity.go
@@ -51,6 +51,7 @@
 	WatchingInstances  float64 `toml:"watching-instances"`
 	HeadPollSeconds    float64 `toml:"head-poll-seconds"`
 	WatchTimeoutSecond float64 `toml:"watch-timeout-seconds"`
+	ListPollSeconds    float64 `toml:"list-poll-seconds"`
 }
 
 // Read reads a slopes file; an unknown key is an error.
@@ -72,12 +73,13 @@
 }
 
 const (
-	million      = 1e6
-	mebibyte     = 1 << 20
-	kibibyte     = 1 << 10
-	secondsADay  = 24 * 60 * 60
-	bothWays     = 2
-	nodeCoresDay = 8
+	million     = 1e6
+	mebibyte    = 1 << 20
+	kibibyte    = 1 << 10
+	secondsADay = 24 * 60 * 60
+	bothWays    = 2
+	// nodeCores are those of the machine that was measured.
+	nodeCores = 8
 )
 
 // Table returns the sums as a table.
@@ -104,7 +106,7 @@
 	row("entry", "queries a second", "140,000 / 870", fmt.Sprintf("%.0f", queries), "balancer over all nodes")
 	row("entry, direct fan-out", "leaf replies a second", "queries x 1,100 / 870", fmt.Sprintf("%.0f", replies), "one call per shard")
 	row("entry, direct fan-out", "processor", "replies x (call + choice and merge)", fmt.Sprintf("%.1f cores", cores),
-		verdict(cores, nodeCoresDay, "cores of a node like the one measured; calls must be batched"))
+		verdict(cores, nodeCores, "cores of a node like the one measured; calls must be batched"))
 	row("entry, direct fan-out", "connections of one leaf", "one per node", fmt.Sprintf("%.0f", t.Nodes),
 		"a leaf takes 30 to 100: owners are needed")
 	row("entry, direct fan-out", "network", "replies x bytes", fmt.Sprintf("%.1f MB/s", replies*m.BytesPerCall/mebibyte), "batching leaves out headers")
@@ -134,8 +136,9 @@
 // platform are the rows of the platform as it is used.
 func (s *Slopes) platform(row rowFunc) {
 	t, m := s.Target, s.Measured
-	polls := (t.Nodes - m.WatchingInstances) / m.HeadPollSeconds
-	row("platform", "reads a second, steady", "polls of the head + renewed watches", fmt.Sprintf("%.1f", polls+m.WatchingInstances/m.WatchTimeoutSecond), "of 2,000; four watches, the others poll every 45 s")
+	polls := (t.Nodes-m.WatchingInstances)/m.HeadPollSeconds + m.WatchingInstances/m.WatchTimeoutSecond
+	row("platform", "reads a second, steady", "polls of the head + renewed watches", fmt.Sprintf("%.1f", polls), "of 2,000; four watches, the others poll every 45 s")
+	row("platform", "reads of the list a second", "870 / 10 s", fmt.Sprintf("%.0f", t.Nodes/m.ListPollSeconds), "of 2,000; could be rarer as members are many")
 	row("platform", "writes a second", "580 changes a day, 3 writes each", fmt.Sprintf("%.3f", 3*t.ChangesPerDay/secondsADay), "of several hundred; claims come on top, 1 or 2 per non-idempotent request")
 	row("platform", "calls of a data centre that starts", "200 nodes, 1 list + 1 head each", "400", "peers give the services; no herd")
 }
