Drop logs that nothing writes to

Cause: found by reading as a newcomer: the prober and the runner took a log and never used it, and the load tool's drawing was garbled by the formatter. Change: both are gone, the drawing is a comment that the formatter leaves alone.

--- a/lentilload/core.go
+++ b/lentilload/core.go
@@ -19,14 +19,15 @@
 	"lentilward.org/lentilstand/site"
 )
 
-/*
-schedule -> caller.Generator -> caller.Sender -> instances -> stand-ins
-
-	|                                                       |
-	+----> faults: stand, instance, operator                |
-	                                                        v
-	records + accepted changes + ledger -> audit -> report.Trace
-*/
+// How an experiment runs:
+//
+//	schedule -> caller.Generator -> caller.Sender -> instances -> stand-ins
+//	   |                                 |                           |
+//	   +-> faults by stand, instance     v                           v
+//	       and operator              records + accepted changes + ledgers
+//	                                              |
+//	                                              v
+//	                                            audit -> report
 
 const (
 	// settleTime is how long the system is left alone after the load, so that
--- a/lentilward/backend/fake_test.go
+++ b/lentilward/backend/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/netip"
 	"sync"
 	"testing"
@@ -111,7 +110,7 @@
 }
 
 func newBench(ctx context.Context, n int) *bench {
-	b := &bench{runner: New(ctx, "test", Policy{}, slog.New(slog.DiscardHandler))}
+	b := &bench{runner: New(ctx, "test", Policy{})}
 	state := &blackboard.ServiceState{}
 	state.HedgeDelay.Store(int64(20 * time.Millisecond))
 	state.Typical.Store(int64(10 * time.Millisecond))
--- a/lentilward/backend/runner.go
+++ b/lentilward/backend/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,18 +25,16 @@
 type Runner struct {
 	instance string
 	policy   Policy
-	log      *slog.Logger
 	queues   *queue.Set
 	// Permit asks the owner of a cold server for a place.
 	Permit func(ctx context.Context, s *blackboard.Server, boot uint64, class blackboard.Class) (Permit, error)
 }
 
 // New returns a runner whose queues are served until the context ends.
-func New(ctx context.Context, instance string, policy Policy, log *slog.Logger) *Runner {
+func New(ctx context.Context, instance string, policy Policy) *Runner {
 	return &Runner{
 		instance: instance,
 		policy:   policy,
-		log:      log,
 		queues:   queue.NewSet(ctx),
 		Permit: func(context.Context, *blackboard.Server, uint64, blackboard.Class) (Permit, error) {
 			return Permit{}, ErrNoServer
--- a/lentilward/caller/bench_test.go
+++ b/lentilward/caller/bench_test.go
@@ -84,6 +84,6 @@
 	}
 	board.Routes.Store(&blackboard.Routes{Services: map[string]*blackboard.ServiceRoutes{"s": r}, Revision: 1})
 	log := slog.New(slog.DiscardHandler)
-	return New(board, backend.New(ctx, "bench", backend.Policy{}, log), platform.NewClaims(nil, "bench"),
+	return New(board, backend.New(ctx, "bench", backend.Policy{}), platform.NewClaims(nil, "bench"),
 		suspect.New(board), monitor.NewMetrics(), backend.Policy{}, log)
 }
--- a/lentilward/caller/fake_test.go
+++ b/lentilward/caller/fake_test.go
@@ -105,7 +105,7 @@
 		kv:      make(map[string]platform.Entry),
 	}
 	log := slog.New(slog.DiscardHandler)
-	runner := backend.New(ctx, "test", backend.Policy{}, log)
+	runner := backend.New(ctx, "test", backend.Policy{})
 	t.server = New(t.board, runner, platform.NewClaims(t.keyValue(), "test"), suspect.New(t.board),
 		monitor.NewMetrics(), backend.Policy{}, log)
 	t.add("billing", 2, 1000)
--- a/lentilward/fleet/ownership_test.go
+++ b/lentilward/fleet/ownership_test.go
@@ -41,7 +41,7 @@
 		p := &peer{address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1+i))}
 		p.board = blackboard.New(blackboard.Own{})
 		p.table = member.NewTable(p.board, blackboard.Member{Name: fmt.Sprintf("i%d", i), Address: p.address, Incarnation: 1}, time.Now)
-		p.prober = member.NewProber(p.board, p.table, slog.New(slog.DiscardHandler))
+		p.prober = member.NewProber(p.board, p.table)
 		p.prober.Seeds = func(context.Context) []netip.AddrPort { return g.addresses() }
 		p.prober.Newer = func(context.Context, netip.AddrPort) {}
 		p.prober.Ping = func(ctx context.Context, to netip.AddrPort, x member.Gossip) (member.Gossip, error) {
--- a/lentilward/member/member_test.go
+++ b/lentilward/member/member_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -47,7 +46,7 @@
 	n := &node{address: address, board: blackboard.New(blackboard.Own{})}
 	self := blackboard.Member{Name: fmt.Sprintf("i%03d", i), Address: address, Incarnation: uint64(time.Now().UnixMilli())}
 	n.table = NewTable(n.board, self, time.Now)
-	n.prober = NewProber(n.board, n.table, slog.New(slog.DiscardHandler))
+	n.prober = NewProber(n.board, n.table)
 	n.prober.Seeds = func(context.Context) []netip.AddrPort {
 		return []netip.AddrPort{netip.AddrPortFrom(address.Addr(), 1000)}
 	}
--- a/lentilward/member/prober.go
+++ b/lentilward/member/prober.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -31,7 +30,6 @@
 type Prober struct {
 	board *blackboard.Board
 	table *Table
-	log   *slog.Logger
 	nudge chan struct{}
 
 	// Ping probes an address and returns the answer.
@@ -45,8 +43,8 @@
 }
 
 // NewProber returns a prober; Run starts it once its fields are set.
-func NewProber(board *blackboard.Board, table *Table, log *slog.Logger) *Prober {
-	return &Prober{board: board, table: table, log: log, nudge: make(chan struct{}, 1)}
+func NewProber(board *blackboard.Board, table *Table) *Prober {
+	return &Prober{board: board, table: table, nudge: make(chan struct{}, 1)}
 }
 
 // Nudge makes the prober tell a few members of a new configuration at once.
--- a/lentilward/wire.go
+++ b/lentilward/wire.go
@@ -55,7 +55,7 @@
 	})
 	do.Provide(i, func(i do.Injector) (*backend.Runner, error) {
 		o := do.MustInvoke[*Options](i)
-		return backend.New(life, o.Name, do.MustInvoke[backend.Policy](i), do.MustInvoke[*slog.Logger](i)), nil
+		return backend.New(life, o.Name, do.MustInvoke[backend.Policy](i)), nil
 	})
 }
 
@@ -87,8 +87,7 @@
 		return member.NewTable(do.MustInvoke[*blackboard.Board](i), self, time.Now), nil
 	})
 	do.Provide(i, func(i do.Injector) (*member.Prober, error) {
-		return member.NewProber(do.MustInvoke[*blackboard.Board](i), do.MustInvoke[*member.Table](i),
-			do.MustInvoke[*slog.Logger](i)), nil
+		return member.NewProber(do.MustInvoke[*blackboard.Board](i), do.MustInvoke[*member.Table](i)), nil
 	})
 	do.ProvideValue(i, &peer.Traffic{})
 	do.Provide(i, func(i do.Injector) (*peer.Links, error) {
