Own cold servers only while a majority was heard lately

Cause: TestAtMostOneOwner, run again, found two owners in some schedules. A member that is cut off believes in the others until its probes have gone round, up to 6.5 s; they find a new owner after 4.4 s. And after a short cut the old owner went on at once, while the new one did not know yet that it was back.

Ruled out: a longer wait alone, which would have to exceed the slowest round.

Change: a majority is of members heard within 3 s and must have held for 3 s; a new owner waits 3 s in place of 2; a member that is believed gone is told so when it asks.

--- a/lentilward/blackboard/members.go
+++ b/lentilward/blackboard/members.go
@@ -47,6 +47,11 @@
 	// Unmet is the number of addresses at which an instance should be, though
 	// none was met there, or none for long.
 	Unmet int
+	// Majority tells whether more than half of all members that have not left in
+	// good order were heard lately, those included that were never met.
+	Majority bool
+	// MajoritySince is when Majority last became true.
+	MajoritySince time.Time
 	// Changed is when a member last joined or left.
 	Changed time.Time
 }
@@ -72,22 +77,6 @@
 	return n
 }
 
-// Majority tells whether this instance sees more than half of all members
-// that have not left in good order, those included that it never met.
-func (m *Members) Majority() bool {
-	known, live := m.Unmet, 0
-	for _, x := range m.List {
-		if x.State == Leaving {
-			continue
-		}
-		known++
-		if x.State == Alive {
-			live++
-		}
-	}
-	return 2*live > known
-}
-
 // Owner returns the member that owns a key by rendezvous hashing, and false
 // if no member takes work.
 func (m *Members) Owner(key string) (Member, bool) {
--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -105,7 +105,7 @@
 	c.prober.Newer = c.fetch
 	c.peers.Ping = func(ctx context.Context, g member.Gossip) member.Gossip {
 		c.prober.Heard(context.WithoutCancel(ctx), g)
-		return c.table.Gossip()
+		return c.table.Answer(g.From.Name)
 	}
 	c.peers.Probe = func(ctx context.Context, target netip.AddrPort) error {
 		_, err := c.links.Ping(ctx, target, c.table.Gossip())
--- a/lentilward/fleet/tuner.go
+++ b/lentilward/fleet/tuner.go
@@ -30,7 +30,7 @@
 	defaultWarmRuns = 30
 	// takeoverDelay is how long a new owner of cold servers waits, so that
 	// what the old one admitted has ended.
-	takeoverDelay = 2 * time.Second
+	takeoverDelay = 3 * time.Second
 	// ownership is how long an ownership holds without renewal. It ends well
 	// before another instance takes over.
 	ownership = 500 * time.Millisecond
@@ -87,7 +87,8 @@
 // tuneCold renews or ends ownership and grows the limit with proven replies.
 func (f *Fleet) tuneCold(s *blackboard.Server, members *blackboard.Members, now time.Time) {
 	owner, found := members.Owner(s.Address.String())
-	owns := found && owner.Name == members.Self && members.Majority() && now.Sub(members.Changed) > takeoverDelay
+	owns := found && owner.Name == members.Self && members.Majority &&
+		now.Sub(members.MajoritySince) > takeoverDelay && now.Sub(members.Changed) > takeoverDelay
 	boot := s.BootID.Load()
 	if !owns || boot == 0 {
 		s.OwnedUntil.Store(0)
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -20,6 +20,9 @@
 	newsRepeats = 8
 	// suspectTimeout is how long a suspected member has to refute.
 	suspectTimeout = 1500 * time.Millisecond
+	// hearing is how long a member that was heard counts towards a majority. It is
+	// shorter than the time in which others can take it for dead.
+	hearing = 3 * time.Second
 	// leaveTimeout is how long a member that left is remembered.
 	leaveTimeout = 30 * time.Second
 	// deadTimeout is how long a dead member counts towards a majority.
@@ -42,6 +45,8 @@
 	members map[string]*entry
 	seeds   []netip.AddrPort
 	changed time.Time
+	// majoritySince is zero while there is no majority.
+	majoritySince time.Time
 }
 
 type entry struct {
@@ -102,10 +107,26 @@
 	return n
 }
 
+// Answer returns what to tell a member that was heard. If it is believed to be
+// gone it must know, so that it can refute.
+func (t *Table) Answer(to string) Gossip {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.gossip()
+	if e := t.members[to]; e != nil && e.State != blackboard.Alive {
+		g.News = append(g.News, e.Member)
+	}
+	return g
+}
+
 // Gossip returns what to tell next.
 func (t *Table) Gossip() Gossip {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.gossip()
+}
+
+func (t *Table) gossip() Gossip {
 	news := make([]*entry, 0, len(t.members))
 	for _, e := range t.members {
 		if e.repeats < newsRepeats {
@@ -235,9 +256,33 @@
 	t.publish()
 }
 
+// countMajority notes since when more than half of the members were heard
+// lately. The caller holds mu.
+func (t *Table) countMajority(unmet int) {
+	now := t.now()
+	known, heard := 1+unmet, 1
+	for _, e := range t.members {
+		if e.State == blackboard.Leaving {
+			continue
+		}
+		known++
+		if e.State == blackboard.Alive && now.Sub(e.Heard) <= hearing {
+			heard++
+		}
+	}
+	switch {
+	case 2*heard <= known:
+		t.majoritySince = time.Time{}
+	case t.majoritySince.IsZero():
+		t.majoritySince = now
+	}
+}
+
 // publish writes the Members cell. The caller holds mu.
 func (t *Table) publish() {
 	view := &blackboard.Members{Self: t.self.Name, Changed: t.changed, Unmet: t.unmet()}
+	t.countMajority(view.Unmet)
+	view.Majority, view.MajoritySince = !t.majoritySince.IsZero(), t.majoritySince
 	view.List = append(view.List, t.describe())
 	for _, e := range t.members {
 		view.List = append(view.List, e.Member)
