Mend what the checks found in the tests

Cause: the whole test command had not been run since the last tests were added: staticcheck found an unused field and constant, and the race detector a network of the member tests without a lock (in the test, not in the product). Change: the lock, and both are gone.

--- a/lentilload/faults.go
+++ b/lentilload/faults.go
@@ -19,9 +19,6 @@
 const (
 	// poisonDeadline is the time that a poison request has.
 	poisonDeadline = 2 * time.Second
-	// replacePause is the time between two replaced instances, in which the
-	// first is started again.
-	replacePause = 4 * time.Second
 )
 
 // fault brings about a fault at its times.
--- a/lentilward/member/member_test.go
+++ b/lentilward/member/member_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +18,13 @@
 
 // network joins the probers of one test. It loses messages and cuts pairs.
 type network struct {
+	mu    sync.Mutex
 	nodes map[netip.AddrPort]*node
 	loss  float64
 	cut   func(a, b netip.AddrPort) bool
 	draw  *rand.Rand
-	bytes int
+	// messages counts those that arrived.
+	messages int
 }
 
 type node struct {
@@ -51,7 +54,7 @@
 		return []netip.AddrPort{netip.AddrPortFrom(address.Addr(), 1000)}
 	}
 	n.prober.Newer = func(_ context.Context, from netip.AddrPort) {
-		if n.board.Install(w.nodes[from].board.Config.Load()) {
+		if n.board.Install(w.node(from).board.Config.Load()) {
 			n.prober.Nudge()
 		}
 	}
@@ -59,13 +62,14 @@
 		return w.ping(ctx, address, to, g)
 	}
 	n.prober.PingVia = func(ctx context.Context, helper, target netip.AddrPort) error {
-		if w.cut(address, helper) {
+		h := w.route(address, helper)
+		if h == nil {
 			return errCut
 		}
-		_, err := w.ping(ctx, helper, target, w.nodes[helper].table.Gossip())
+		_, err := w.ping(ctx, helper, target, h.table.Gossip())
 		return err
 	}
-	w.nodes[address] = n
+	w.change(func() { w.nodes[address] = n })
 	ctx, n.stop = context.WithCancel(ctx)
 	go n.prober.Run(ctx)
 	return n
@@ -73,16 +77,41 @@
 
 func (w *network) ping(ctx context.Context, from, to netip.AddrPort, g Gossip) (Gossip, error) {
 	time.Sleep(time.Millisecond)
-	target := w.nodes[to]
-	if target == nil || w.cut(from, to) || w.draw.Float64() < w.loss {
+	target := w.route(from, to)
+	if target == nil {
 		<-ctx.Done()
 		return Gossip{}, errCut
 	}
-	w.bytes++
 	target.prober.Heard(context.WithoutCancel(ctx), g)
 	return target.table.Answer(g.From.Name), nil
 }
 
+// route returns the node that a message reaches, or nil if it is lost.
+func (w *network) route(from, to netip.AddrPort) *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	target := w.nodes[to]
+	if target == nil || w.cut(from, to) || w.draw.Float64() < w.loss {
+		return nil
+	}
+	w.messages++
+	return target
+}
+
+// change changes the network between messages.
+func (w *network) change(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+// node returns the node at an address.
+func (w *network) node(address netip.AddrPort) *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[address]
+}
+
 // states counts what a node believes of the others.
 func (n *node) states() map[blackboard.MemberState]int {
 	counts := make(map[blackboard.MemberState]int)
@@ -113,7 +142,7 @@
 			t.Fatalf("%d members alive, want 4", got)
 		}
 		nodes[1].stop()
-		delete(w.nodes, nodes[1].address)
+		w.change(func() { delete(w.nodes, nodes[1].address) })
 		time.Sleep(6 * time.Second)
 		for _, i := range []int{0, 2, 3} {
 			if got := nodes[i].states(); got[blackboard.Dead] != 1 || got[blackboard.Alive] != 3 {
@@ -132,9 +161,11 @@
 			nodes = append(nodes, w.join(ctx, i))
 		}
 		time.Sleep(3 * time.Second)
-		w.cut = func(a, b netip.AddrPort) bool {
-			return a == nodes[0].address && b == nodes[1].address || a == nodes[1].address && b == nodes[0].address
-		}
+		w.change(func() {
+			w.cut = func(a, b netip.AddrPort) bool {
+				return a == nodes[0].address && b == nodes[1].address || a == nodes[1].address && b == nodes[0].address
+			}
+		})
 		for range 20 {
 			time.Sleep(time.Second)
 			if got := nodes[0].states()[blackboard.Dead]; got != 0 {
@@ -153,7 +184,7 @@
 			nodes = append(nodes, w.join(ctx, i))
 		}
 		time.Sleep(3 * time.Second)
-		w.cut = func(a, b netip.AddrPort) bool { return (a.Port() < 1002) != (b.Port() < 1002) }
+		w.change(func() { w.cut = func(a, b netip.AddrPort) bool { return (a.Port() < 1002) != (b.Port() < 1002) } })
 		time.Sleep(10 * time.Second)
 		if nodes[0].board.Members.Load().Majority {
 			t.Error("the smaller side has a majority")
@@ -161,7 +192,7 @@
 		if !nodes[4].board.Members.Load().Majority {
 			t.Error("the larger side has no majority")
 		}
-		w.cut = func(netip.AddrPort, netip.AddrPort) bool { return false }
+		w.change(func() { w.cut = func(netip.AddrPort, netip.AddrPort) bool { return false } })
 		time.Sleep(15 * time.Second)
 		for i, n := range nodes {
 			if got := n.states()[blackboard.Alive]; got != 5 {
@@ -183,10 +214,9 @@
 				nodes = append(nodes, w.join(ctx, i))
 			}
 			time.Sleep(20 * time.Second)
-			w.loss = 0.1
-			w.bytes = 0
+			w.change(func() { w.loss, w.messages = 0.1, 0 })
 			time.Sleep(20 * time.Second)
-			perNode[size] = float64(w.bytes) / float64(size) / 20
+			w.change(func() { perNode[size] = float64(w.messages) / float64(size) / 20 })
 			begin := time.Now()
 			nodes[0].board.Install((&blackboard.Config{}).Next(blackboard.Change{ID: "1"}))
 			nodes[0].prober.Nudge()
--- a/lentilward/operator/session_test.go
+++ b/lentilward/operator/session_test.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -21,7 +20,6 @@
 
 // memory is a key-value service that loses the answers of writes when told.
 type memory struct {
-	mu       sync.Mutex
 	entries  map[string]platform.Entry
 	revision uint64
 	lose     int
