Tell the sendings of one request apart in the audit

The trace: the first sending waited for a cold server until its deadline, was refused as not-run and released its claim; the second sending ran it. The refusal was true, the audit joined by id only.

Change: if a request was sent more than once, a refusal is false if a run began before it. With one sending the check is as strict as before, so a run that begins after its refusal is still found. Tests for both.

--- a/lentilload/audit/audit.go
+++ b/lentilload/audit/audit.go
@@ -57,19 +57,25 @@
 	ran     map[shardKey]int
 	runs    int
 	execute int
-	shards  map[string]uint32
+	// first is when the first run began, in microseconds since 1970.
+	first  int64
+	shards map[string]uint32
 }
 
 // Check audits a run.
 func Check(e *Evidence) *Findings {
 	f := &Findings{}
 	byRequest := index(e.Ledger)
+	sendings := make(map[string]int)
+	for _, r := range e.Records {
+		sendings[r.ID]++
+	}
 	for _, r := range e.Records {
 		c := byRequest[r.ID]
 		if c == nil {
 			c = &calls{}
 		}
-		f.checkRecord(r, c)
+		f.checkRecord(r, c, sendings[r.ID])
 	}
 	f.checkExecutes(byRequest)
 	f.checkServers(e)
@@ -92,6 +98,9 @@
 		if e.Result != "ran" && e.Result != "crashed" && e.Result != "" {
 			continue
 		}
+		if c.runs == 0 || e.StartUs < c.first {
+			c.first = e.StartUs
+		}
 		c.runs++
 		if e.Execute {
 			c.execute++
@@ -109,13 +118,15 @@
 	}
 }
 
-func (f *Findings) checkRecord(r *caller.Record, c *calls) {
+func (f *Findings) checkRecord(r *caller.Record, c *calls, sendings int) {
 	switch r.End {
 	case caller.Cut:
 		f.Cut++
 		f.example("cut: " + r.ID + ": " + r.Message)
 	case caller.Refused:
-		if r.Outcome == callerpb.Outcome_OUTCOME_NOT_RUN && c.runs > 0 {
+		// What began after the refusal belongs to another sending, if there is one.
+		ran := c.runs > 0 && (sendings == 1 || c.first <= r.Begin.Add(r.Took).UnixMicro())
+		if r.Outcome == callerpb.Outcome_OUTCOME_NOT_RUN && ran {
 			f.FalseNotRun++
 			f.example("false not-run: " + r.ID + ": " + r.Message)
 		}
--- a/lentilload/audit/audit_test.go
+++ b/lentilload/audit/audit_test.go
@@ -49,6 +49,13 @@
 		e := evidence()
 		convey.So(*Check(e), convey.ShouldResemble, Findings{})
 	})
+	convey.Convey("A request that was refused as not-run may run when it is sent again", t, func() {
+		e := evidence()
+		e.Records[0].End, e.Records[0].Outcome = caller.Refused, callerpb.Outcome_OUTCOME_NOT_RUN
+		e.Records[0].Begin = start.Add(-time.Second)
+		e.Records = append(e.Records, &caller.Record{ID: "a", Execute: true, End: caller.Answered})
+		convey.So(Check(e).FalseNotRun, convey.ShouldEqual, 0)
+	})
 	for name, c := range map[string]struct {
 		spoil func(e *Evidence)
 		count func(f *Findings) int
@@ -81,6 +88,14 @@
 			},
 			func(f *Findings) int { return f.FalseNotRun },
 		},
+		"a refusal that says not-run of what ran before it, though it was sent again": {
+			func(e *Evidence) {
+				e.Records[0].End, e.Records[0].Outcome = caller.Refused, callerpb.Outcome_OUTCOME_NOT_RUN
+				e.Records[0].Begin = start
+				e.Records = append(e.Records, &caller.Record{ID: "a", Execute: true, End: caller.Answered})
+			},
+			func(f *Findings) int { return f.FalseNotRun },
+		},
 		"a non-idempotent request that ran twice": {
 			func(e *Evidence) {
 				for range 2 {
