Do not take a cold server for a slow one

A cold server, whose calls take twice as long and were given up during its restart, counted as many times slower than the other holder, so it got no work and did not become warm.

Change: only warm servers are left out as slow, and a new process starts without the reply times of the old one.

--- a/lentilward/blackboard/server.go
+++ b/lentilward/blackboard/server.go
@@ -143,6 +143,7 @@
 	s.Proven.Store(0)
 	if id != s.WarmBootID.Load() {
 		s.Limit.Store(0)
+		s.latency.Store(0)
 	}
 }
 
--- a/lentilward/queue/chooser.go
+++ b/lentilward/queue/chooser.go
@@ -41,7 +41,8 @@
 }
 
 // withoutSlow leaves out servers that take many times as long as the fastest
-// one, even if that one is full: to wait for it is better than to spill over.
+// one, even if that one is full: to wait for it is better than to spill over. A
+// cold server is slow by nature and must get work to become warm.
 func withoutSlow(candidates []*blackboard.Server) []*blackboard.Server {
 	if len(candidates) < 2 {
 		return candidates
@@ -54,7 +55,7 @@
 		return candidates
 	}
 	return slices.DeleteFunc(candidates, func(s *blackboard.Server) bool {
-		return s.Latency() > slowFactor*fastest
+		return s.Warm() && s.Latency() > slowFactor*fastest
 	})
 }
 
