Blame a trial only for the servers that it lost itself

Cause: found by reading the whole change again: a query under trial that lost a server, and whose second trial failed for another reason, was blamed for a second server.

All tests pass.

--- a/lentilload/audit/audit.go
+++ b/lentilload/audit/audit.go
@@ -20,8 +20,6 @@
 	Accepted []operator.Accepted
 	Configs  []*operatorpb.GetConfigReply
 	History  [][]*operatorpb.HistoryEntry
-	// LostInstances are the times at which instances were killed.
-	LostInstances []time.Time
 }
 
 // Findings are the broken promises of a run, and figures on how it kept them.
--- a/lentilload/core.go
+++ b/lentilload/core.go
@@ -199,7 +199,7 @@
 		return err
 	}
 	findings := audit.Check(&audit.Evidence{
-		Records: records, Ledger: ledger, Servers: servers, Accepted: accepted, LostInstances: x.lost,
+		Records: records, Ledger: ledger, Servers: servers, Accepted: accepted,
 		Configs: x.operators.Config(ctx), History: x.operators.History(ctx),
 	})
 	r := report.Summarize(x.schedule.Name, x.site, x.options.seed, records, findings, x.begin)
--- a/lentilward/caller/gather.go
+++ b/lentilward/caller/gather.go
@@ -31,6 +31,8 @@
 	service string
 	version uint64
 	result  backend.Result
+	// lost is the number of servers that went away during it.
+	lost uint32
 }
 
 // gather searches all shards of the services.
--- a/lentilward/caller/try.go
+++ b/lentilward/caller/try.go
@@ -32,7 +32,7 @@
 			s.shapes.Learn(shape)
 			return c, nil
 		}
-		if lost := q.Lost(); lost == 0 {
+		if c.lost == 0 {
 			return c, nil
 		}
 		s.suspects.Crashed(ctx, fingerprint, 1)
@@ -58,7 +58,7 @@
 		}
 		result := s.runner.Run(ctx, careful, backend.Task{Routes: r, Version: r.Pin, Shard: uint32(shard)})
 		q.Add(careful)
-		return &canary{service: r.Service.Name, version: r.Pin.Version, result: result}
+		return &canary{service: r.Service.Name, version: r.Pin.Version, result: result, lost: careful.Lost()}
 	}
 	return nil
 }
