--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// settingsVariable names the settings file where the command line does not.
+const settingsVariable = "LENTILWARD_NODE_FILE"
+
 // Exit codes
 const (
 	exitFailure  = 1
@@ -17,6 +20,17 @@
 	defaultGrace = 15 * time.Second
 )
 
+// Defaults of the search settings
+const (
+	// defaultRepeatRatio, defaultRepeatSlack and defaultRepeatWindow bound the
+	// repeats of all instances together.
+	defaultRepeatRatio  = 0.2
+	defaultRepeatSlack  = 50
+	defaultRepeatWindow = 10 * time.Second
+	// defaultAnswerMargin is the time that an answer needs to reach its caller.
+	defaultAnswerMargin = 15 * time.Millisecond
+)
+
 // Starting
 const (
 	// readyPeriod is the time between two looks at whether the instance can
@@ -34,6 +48,37 @@
 	warmthPeers = 3
 )
 
+// Platform
+const (
+	// rotationDelay is how long a stopping instance goes on to listen: the
+	// balancer asks once a second and takes an instance out after two misses.
+	rotationDelay = 2500 * time.Millisecond
+	// exitMargin is how long before the end of the grace period the process
+	// ends.
+	exitMargin = 300 * time.Millisecond
+	// leastWatch and largestWatch bound how long a watch of the store waits, and
+	// watchPerInstance is what each instance adds.
+	leastWatch       = 4 * time.Second
+	largestWatch     = 15 * time.Second
+	watchPerInstance = time.Second
+	// currentSlack is how much longer than a watch the configuration counts as
+	// the newest.
+	currentSlack = 2 * time.Second
+	// storeConnections is the number of idle connections to the store that are
+	// kept, storeIdle for how long.
+	storeConnections = 4
+	storeIdle        = 30 * time.Second
+	// storeDialTimeout bounds an attempt to connect to the store.
+	storeDialTimeout = 1500 * time.Millisecond
+	// meetTime is how long after the start the number of seeds stands for that
+	// of the instances.
+	meetTime = 5 * time.Second
+	// shareRamp is how long a process that has just started spends less.
+	shareRamp = 10 * time.Second
+	// memoryPart is the part of the memory of the machine that the heap uses.
+	memoryPart = 0.7
+)
+
 // Messages
 const (
 	// maxMessage is the size of the largest message of callers and operators,
--- /dev/null
+++ b/lentilward/gateway.go
@@ -0,0 +1,363 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"lentilward.org/lentilward/balance"
+	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/lentilward/conn"
+	"lentilward.org/lentilward/directory"
+	"lentilward.org/lentilward/enlist"
+	"lentilward.org/lentilward/member"
+	"lentilward.org/lentilward/mirror"
+	"lentilward.org/lentilward/monitor"
+	"lentilward.org/lentilward/peer"
+	"lentilward.org/lentilward/scatter"
+	"lentilward.org/lentilward/web"
+	"lentilward.org/platform"
+	"lentilward.org/schema/domain"
+)
+
+/*
+callers -> web.Server -> scatter.Engine -> balance.Service -> conn.Pool -> backend servers
+               |
+               v
+        directory.Current
+               ^
+               |
+store   -> mirror.Follower -> mirror.Mirror <- peer.Server, peer.Links <- peers
+        <- enlist.Enlister                          ^
+                                             member.Table, member.Prober
+*/
+
+// Gateway runs the components of an instance on the platform.
+type Gateway struct {
+	options   *Options
+	log       *slog.Logger
+	board     *blackboard.Board
+	mirror    *mirror.Mirror
+	follower  *mirror.Follower
+	directory *directory.Directory
+	enlister  *enlist.Enlister
+	table     *member.Table
+	prober    *member.Prober
+	links     *peer.Links
+	peers     *peer.Server
+	callers   *web.Server
+	metrics   *monitor.Metrics
+	fleet     *fleetSize
+	// fetching is set while a peer is asked for its records.
+	fetching atomic.Bool
+}
+
+// newGateway makes the components and joins their function fields.
+func newGateway(o *Options, log *slog.Logger) *Gateway {
+	g := &Gateway{
+		options: o, log: log, mirror: mirror.New(), metrics: monitor.NewMetrics(),
+		board: blackboard.New(blackboard.Own{Name: o.Name, DataCentre: o.DataCentre}),
+	}
+	g.follower = mirror.NewFollower(g.mirror, log)
+	g.joinStore()
+	g.joinPeers()
+	g.joinDirectory()
+	g.joinCallers()
+	return g
+}
+
+// joinStore connects the follower and the enlister with the store.
+func (g *Gateway) joinStore() {
+	store := platform.NewStore(g.options.Store.Address, &http.Client{Transport: &http.Transport{
+		DisableCompression: true, MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: storeIdle,
+		DialContext: (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
+	}})
+	g.follower.List = func(ctx context.Context, after string) (*mirror.Page, error) {
+		return asPage(store.Range(ctx, "", after))
+	}
+	g.follower.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*mirror.Page, error) {
+		return asPage(store.Watch(ctx, "", after, wait))
+	}
+	g.follower.Wait = g.watchWait
+	key := platform.InstancePrefix + g.options.Name
+	g.enlister = enlist.New(g.log)
+	g.enlister.Grant = func(ctx context.Context, ttl time.Duration) (uint64, error) {
+		lease, _, err := store.Grant(ctx, ttl)
+		return lease, err
+	}
+	g.enlister.Keep = func(ctx context.Context, lease uint64) error {
+		if err := store.Keep(ctx, lease); errors.Is(err, platform.ErrNotFound) {
+			return enlist.ErrEnded
+		} else if err != nil {
+			return err
+		}
+		return nil
+	}
+	g.enlister.End = store.End
+	g.enlister.Write = func(ctx context.Context, lease uint64) error {
+		value, err := platform.EncodeInstance(g.options.Listen.Peers)
+		if err != nil {
+			return err
+		}
+		_, err = store.Commit(ctx, nil, []platform.Write{{Key: key, Value: value, Lease: lease}}, nil)
+		return err
+	}
+	g.enlister.Listed = func() bool { return len(g.mirror.List(key)) > 0 }
+}
+
+// asPage turns a page of the store into one of the mirror.
+func asPage(p *platform.Page, err error) (*mirror.Page, error) {
+	if errors.Is(err, platform.ErrHistoryGone) {
+		return nil, mirror.ErrHistoryGone
+	}
+	if err != nil {
+		return nil, err
+	}
+	page := &mirror.Page{Revision: p.Revision, More: p.More, Records: make([]mirror.Record, 0, len(p.Items))}
+	for _, i := range p.Items {
+		page.Records = append(page.Records, mirror.Record{
+			Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted,
+		})
+	}
+	return page, nil
+}
+
+// watchWait spreads the calls of many instances: in a small fleet each waits a
+// short time, so that a dead connection is noticed soon.
+func (g *Gateway) watchWait() time.Duration {
+	return min(max(leastWatch, time.Duration(g.fleet.size())*watchPerInstance), largestWatch)
+}
+
+// joinPeers connects this instance with the others.
+func (g *Gateway) joinPeers() {
+	traffic := &peer.Traffic{}
+	self := blackboard.Member{
+		Name: g.options.Name, Address: g.options.Listen.Peers, DataCentre: g.options.DataCentre,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	g.links = peer.NewLinks(traffic)
+	g.peers = peer.NewServer(g.board, peer.NewPermits(g.board), traffic, g.log)
+	g.table = member.NewTable(g.board, self, time.Now)
+	g.table.Revision = g.mirror.Revision
+	g.prober = member.NewProber(g.board, g.table)
+	g.prober.Ping = g.links.Ping
+	g.prober.PingVia = g.links.PingVia
+	g.prober.Seeds = func(context.Context) []netip.AddrPort { return g.seeds() }
+	g.prober.Newer = g.fetch
+	g.peers.Ping = func(ctx context.Context, gossip member.Gossip) member.Gossip {
+		g.prober.Heard(context.WithoutCancel(ctx), gossip)
+		return g.table.Answer(gossip.From.Name)
+	}
+	g.peers.Probe = func(ctx context.Context, target netip.AddrPort) error {
+		_, err := g.links.Ping(ctx, target, g.table.Gossip())
+		return err
+	}
+	g.peers.Suspects = func([]blackboard.Suspect) {}
+	g.peers.Records = g.mirror.Since
+	g.fleet = newFleetSize(g.board, len(g.options.Peers)+1)
+	g.metrics.Gauge("lentilward_peer_sent_bytes", "Bytes sent to peers.",
+		func() float64 { return float64(traffic.Sent.Load()) })
+	g.metrics.Gauge("lentilward_instances", "Instances that share limits.",
+		func() float64 { return float64(g.fleet.size()) })
+}
+
+// seeds are the addresses where other instances may be.
+func (g *Gateway) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, address := range append(g.directory.Peers(), g.options.Peers...) {
+		if address != g.options.Listen.Peers {
+			seeds = append(seeds, address)
+		}
+	}
+	return seeds
+}
+
+// fetch asks a peer for newer records.
+func (g *Gateway) fetch(ctx context.Context, address netip.AddrPort) {
+	if !g.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer g.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, firstContact)
+	defer cancel()
+	since := g.mirror.Revision()
+	delta, err := g.links.Records(ctx, address, since)
+	if err != nil {
+		g.log.Info("cannot read the records of a peer", "peer", address, "error", err)
+		return
+	}
+	g.log.Debug("records from a peer", "peer", address, "since", since, "revision", delta.Revision, "records", len(delta.Records))
+	g.mirror.Apply(delta.Records, delta.Revision)
+}
+
+// joinDirectory connects the directory with the mirror.
+func (g *Gateway) joinDirectory() {
+	allowance := balance.Allowance{
+		Ratio: g.options.Repeats.Ratio, Slack: g.options.Repeats.Slack, Window: time.Duration(g.options.Repeats.Window),
+	}
+	g.directory = directory.New(directory.Records{
+		ConfigurationKey: platform.ConfigurationKey, ServerPrefix: platform.ServerPrefix,
+		InstancePrefix: platform.InstancePrefix, Configuration: platform.DecodeConfiguration,
+		Server: platform.DecodeServer, Instance: platform.DecodeInstance, Withdrawn: platform.Withdrawn,
+	}, allowance, g.log)
+	g.directory.Instances = g.fleet.size
+	g.directory.Troubled = g.follower.Troubled
+	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
+		return balance.NewServer(b, conn.NewPool(b.Address), b.DataCentre != g.options.DataCentre)
+	}
+	g.mirror.Changed = func(records []mirror.Record) {
+		g.directory.Changed(records)
+		g.prober.Nudge()
+	}
+}
+
+// joinCallers connects the callers' side with the engine.
+func (g *Gateway) joinCallers() {
+	engine := scatter.New(scatter.Policy{
+		Hedge: g.options.Search.Hedge, EarlyAnswer: g.options.Search.EarlyAnswer,
+		AnswerMargin: time.Duration(g.options.Search.AnswerMargin),
+	}, conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply})
+	engine.Share = g.fleet.share
+	g.callers = web.New(web.Format{
+		DecodeRequest: platform.DecodeRequest, EncodeAnswer: platform.EncodeAnswer,
+		EncodeRefusal: platform.EncodeRefusal,
+	}, g.directory, engine, g.log)
+	g.callers.Current = func() bool { return g.follower.Heard() < g.watchWait()+currentSlack }
+}
+
+// Run serves until stop ends, then stops gracefully.
+func (g *Gateway) Run(life, stop context.Context) error {
+	if g.options.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(g.options.Memory) * memoryPart * (1 << 20)))
+	}
+	callers := g.callers.HTTP()
+	peers := &http.Server{Handler: g.peers.Handler(), ReadHeaderTimeout: headerTimeout}
+	readiness := &http.Server{Handler: http.HandlerFunc(g.readiness), ReadHeaderTimeout: headerTimeout}
+	monitors := &http.Server{Handler: monitor.Handler(g.board, g.metrics), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 4)
+	for _, l := range []struct {
+		address netip.AddrPort
+		server  *http.Server
+	}{
+		{g.options.Listen.HTTP, callers}, {g.options.Listen.Readiness, readiness},
+		{g.options.Listen.Peers, peers}, {g.options.Listen.Monitor, monitors},
+	} {
+		listener, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return merry.Wrap(err)
+		}
+		go func() { failed <- l.server.Serve(listener) }()
+	}
+	enlisted, leave := context.WithCancel(life)
+	defer leave()
+	go g.directory.Run(life)
+	go g.prober.Run(life)
+	go g.follower.Run(life)
+	go g.enlister.Run(enlisted)
+	go g.awaitReady(life)
+	select {
+	case err := <-failed:
+		return merry.Wrap(err)
+	case <-stop.Done():
+	}
+	leave()
+	return g.stop(callers)
+}
+
+// stop lets the balancer notice, then lets the requests in flight end.
+func (g *Gateway) stop(callers *http.Server) error {
+	begin := time.Now()
+	g.setPhase(blackboard.Stopping)
+	g.callers.Stop()
+	g.table.Leave()
+	g.prober.Nudge()
+	grace := time.Duration(g.options.Stop.Grace)
+	time.Sleep(min(rotationDelay, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(grace-exitMargin))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		g.log.Warn("requests were still in flight at the end of the grace period", "error", err)
+		return nil
+	}
+	g.log.Info("stopped", "took", time.Since(begin))
+	return nil
+}
+
+// readiness tells the balancer whether this instance takes callers.
+func (g *Gateway) readiness(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadinessPath {
+		http.NotFound(w, r)
+		return
+	}
+	if phase := g.board.Own.Load().Phase; phase != blackboard.Serving {
+		http.Error(w, phase.String(), http.StatusServiceUnavailable)
+	}
+}
+
+// awaitReady takes callers once a configuration is known.
+func (g *Gateway) awaitReady(ctx context.Context) {
+	for {
+		changed := g.directory.Current.Changed()
+		if g.directory.Current.Load() != nil {
+			g.setPhase(blackboard.Serving)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gateway) setPhase(p blackboard.Phase) {
+	own := *g.board.Own.Load()
+	if own.Phase >= p {
+		return
+	}
+	own.Phase = p
+	g.board.Own.Store(&own)
+	g.log.Info("phase", "phase", p)
+}
+
+// fleetSize counts the instances that share limits.
+type fleetSize struct {
+	board *blackboard.Board
+	began time.Time
+	// first is the size that is believed while peers are still to be met.
+	first int
+}
+
+func newFleetSize(board *blackboard.Board, first int) *fleetSize {
+	return &fleetSize{board: board, began: time.Now(), first: first}
+}
+
+// size returns the number of instances, those included that were lost lately.
+func (f *fleetSize) size() int {
+	n := 1
+	members := f.board.Members.Load()
+	for _, m := range members.List {
+		if m.Name != members.Self {
+			n++
+		}
+	}
+	if time.Since(f.began) < meetTime {
+		n = max(n, f.first)
+	}
+	return n
+}
+
+// share returns this instance's part of what all may spend. A process that has
+// just started does not know what the one before it has spent.
+func (f *fleetSize) share() float64 {
+	ramp := min(1, float64(time.Since(f.began))/float64(shareRamp))
+	return ramp / float64(f.size())
+}
--- a/lentilward/main.go
+++ b/lentilward/main.go
@@ -16,7 +16,7 @@
 func main() {
 	app := kingpin.New("lentilward", "One instance of the query tier.")
 	run := app.Command("run", "Run the instance.").Default()
-	runFile := run.Flag("settings", "Settings file.").Short('s').Required().String()
+	runFile := run.Flag("settings", "Settings file.").Short('s').Envar(settingsVariable).Required().String()
 	check := app.Command("check", "Check a settings file and exit.")
 	checkFile := check.Arg("file", "Settings file.").Required().String()
 
@@ -46,6 +46,9 @@
 	defer cancel()
 	life, end := context.WithCancel(context.Background())
 	defer end()
+	if options.OnPlatform() {
+		return newGateway(options, newLog(options, os.Stdout)).Run(life, stop)
+	}
 	injector := do.New()
 	do.ProvideValue(injector, options)
 	provide(injector, life)
--- a/lentilward/member/prober.go
+++ b/lentilward/member/prober.go
@@ -150,7 +150,7 @@
 // Heard takes in gossip that arrived and asks for a newer configuration.
 func (p *Prober) Heard(ctx context.Context, g Gossip) {
 	p.table.Receive(g)
-	if g.From.Revision > p.board.Config.Load().Revision {
+	if g.From.Revision > p.table.Revision() {
 		go p.Newer(ctx, g.From.Address)
 	}
 }
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -39,6 +39,8 @@
 type Table struct {
 	board *blackboard.Board
 	now   func() time.Time
+	// Revision returns the revision of what this instance can tell its peers.
+	Revision func() uint64
 
 	mu      sync.Mutex
 	self    blackboard.Member
@@ -57,6 +59,7 @@
 // NewTable returns a table that knows only this instance.
 func NewTable(board *blackboard.Board, self blackboard.Member, now func() time.Time) *Table {
 	t := &Table{board: board, now: now, self: self, members: make(map[string]*entry), changed: now()}
+	t.Revision = func() uint64 { return board.Config.Load().Revision }
 	t.publish()
 	return t
 }
@@ -70,7 +73,7 @@
 
 func (t *Table) describe() blackboard.Member {
 	self := t.self
-	self.Revision = t.board.Config.Load().Revision
+	self.Revision = t.Revision()
 	return self
 }
 
--- a/lentilward/options.go
+++ b/lentilward/options.go
@@ -22,7 +22,30 @@
 		Operators netip.AddrPort `toml:"operators"`
 		Peers     netip.AddrPort `toml:"peers"`
 		Monitor   netip.AddrPort `toml:"monitor"`
+		// HTTP and Readiness are used on the platform, in place of Callers and
+		// Operators.
+		HTTP      netip.AddrPort `toml:"http"`
+		Readiness netip.AddrPort `toml:"readiness"`
 	} `toml:"listen"`
+	// Store is the platform's store, over HTTP.
+	Store struct {
+		Address netip.AddrPort `toml:"address"`
+	} `toml:"store"`
+	// Memory of the machine in MiB; 0 if there is no bound.
+	Memory int `toml:"memory-mib"`
+	// Repeats bound the calls beyond the first of each request, for each service
+	// and over all instances.
+	Repeats struct {
+		Ratio  float64  `toml:"ratio"`
+		Slack  float64  `toml:"slack"`
+		Window duration `toml:"window"`
+	} `toml:"repeats"`
+	// Search says how a search ends in time.
+	Search struct {
+		Hedge        bool     `toml:"hedge"`
+		EarlyAnswer  bool     `toml:"early-answer"`
+		AnswerMargin duration `toml:"answer-margin"`
+	} `toml:"search"`
 	Platform struct {
 		Address netip.AddrPort `toml:"address"`
 	} `toml:"platform"`
@@ -67,6 +90,12 @@
 	o.Log.Format = "text"
 	o.Log.Level = "info"
 	o.Policy.FanOut = "guarded"
+	o.Repeats.Ratio = defaultRepeatRatio
+	o.Repeats.Slack = defaultRepeatSlack
+	o.Repeats.Window = duration(defaultRepeatWindow)
+	o.Search.Hedge = true
+	o.Search.EarlyAnswer = true
+	o.Search.AnswerMargin = duration(defaultAnswerMargin)
 	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&o); err != nil {
 		return nil, located(path, err)
 	}
@@ -116,16 +145,7 @@
 		return &settingError{"data-centre", "want lower-case letters, digits and dashes"}
 	}
 	seen := make(map[netip.AddrPort]string)
-	for _, l := range []struct {
-		key     string
-		address netip.AddrPort
-	}{
-		{"listen.callers", o.Listen.Callers},
-		{"listen.operators", o.Listen.Operators},
-		{"listen.peers", o.Listen.Peers},
-		{"listen.monitor", o.Listen.Monitor},
-		{"platform.address", o.Platform.Address},
-	} {
+	for _, l := range o.addresses() {
 		if !l.address.IsValid() {
 			return &settingError{l.key, "required, as IP:port"}
 		}
@@ -143,12 +163,42 @@
 	if o.Stop.Grace <= 0 {
 		return &settingError{"stop.grace", "must be above 0"}
 	}
+	if o.Repeats.Ratio < 0 || o.Repeats.Slack < 0 || o.Repeats.Window <= 0 {
+		return &settingError{"repeats.window", "want ratio and slack of at least 0 and a window above 0"}
+	}
+	if o.Search.AnswerMargin < 0 {
+		return &settingError{"search.answer-margin", "must be at least 0"}
+	}
+	if o.Memory < 0 {
+		return &settingError{"memory-mib", "must be at least 0"}
+	}
 	if o.Policy.FanOut != "guarded" && o.Policy.FanOut != "plain" {
 		return &settingError{"policy.fan-out", "want guarded or plain"}
 	}
 	return nil
 }
 
+// address is a setting that must be there.
+type address struct {
+	key     string
+	address netip.AddrPort
+}
+
+// OnPlatform tells whether the instance serves callers over HTTP and follows
+// the platform's store.
+func (o *Options) OnPlatform() bool { return o.Listen.HTTP.IsValid() }
+
+// addresses are those that the instance cannot do without.
+func (o *Options) addresses() []address {
+	common := []address{{"listen.peers", o.Listen.Peers}, {"listen.monitor", o.Listen.Monitor}}
+	if o.OnPlatform() {
+		return append(common, address{"listen.http", o.Listen.HTTP}, address{"listen.readiness", o.Listen.Readiness},
+			address{"store.address", o.Store.Address})
+	}
+	return append(common, address{"listen.callers", o.Listen.Callers}, address{"listen.operators", o.Listen.Operators},
+		address{"platform.address", o.Platform.Address})
+}
+
 // lineOf returns the line of a key, or 1 if the file does not have it.
 func lineOf(data []byte, key string) int {
 	last := []byte(key)
--- a/lentilward/peer/calls.go
+++ b/lentilward/peer/calls.go
@@ -8,6 +8,7 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
+	"lentilward.org/lentilward/mirror"
 )
 
 // suspectTimeout bounds how long a request waits until its peers know of a
@@ -37,6 +38,13 @@
 	return &d, nil
 }
 
+// Records asks a peer for the records that are newer than a revision.
+func (l *Links) Records(ctx context.Context, address netip.AddrPort, since uint64) (mirror.Delta, error) {
+	var d mirror.Delta
+	err := l.call(ctx, address, kindRecords, recordsBody{Since: since}, &d)
+	return d, err
+}
+
 // TellSuspects tells peers of suspects and waits a short time until all know.
 func (l *Links) TellSuspects(ctx context.Context, peers []blackboard.Member, suspects []blackboard.Suspect) {
 	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
--- a/lentilward/peer/frame.go
+++ b/lentilward/peer/frame.go
@@ -29,6 +29,7 @@
 	kindRelease kind = "release"
 	kindSuspect kind = "suspect"
 	kindWarmth  kind = "warmth"
+	kindRecords kind = "records"
 )
 
 // frame is one message. A reply has the id of the frame that it answers.
@@ -47,6 +48,12 @@
 	Have uint64 `cbor:"have"`
 }
 
+// recordsBody asks for the records that are newer than a revision; the reply is
+// a mirror.Delta.
+type recordsBody struct {
+	Since uint64 `cbor:"since"`
+}
+
 // pingViaBody asks the receiver to probe the target.
 type pingViaBody struct {
 	Target netip.AddrPort `cbor:"target"`
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -13,6 +13,7 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
+	"lentilward.org/lentilward/mirror"
 )
 
 // path is where peers connect.
@@ -31,11 +32,16 @@
 	Probe func(ctx context.Context, target netip.AddrPort) error
 	// Suspects takes in what peers tell of queries.
 	Suspects func([]blackboard.Suspect)
+	// Records returns the records that are newer than a revision.
+	Records func(since uint64) mirror.Delta
 }
 
 // NewServer returns a server; its fields must be set before it serves.
 func NewServer(board *blackboard.Board, permits *Permits, traffic *Traffic, log *slog.Logger) *Server {
-	return &Server{board: board, permits: permits, traffic: traffic, log: log}
+	return &Server{
+		board: board, permits: permits, traffic: traffic, log: log,
+		Records: func(uint64) mirror.Delta { return mirror.Delta{} },
+	}
 }
 
 // Handler serves the peer port.
@@ -99,6 +105,8 @@
 		return serveBody(f, func(b pingViaBody) (any, error) { return struct{}{}, s.Probe(ctx, b.Target) })
 	case kindConfig:
 		return serveBody(f, func(b configBody) (any, error) { return s.board.Config.Load().DeltaFrom(b.Have), nil })
+	case kindRecords:
+		return serveBody(f, func(b recordsBody) (any, error) { return s.Records(b.Since), nil })
 	case kindPermit:
 		return serveBody(f, func(b permitBody) (any, error) { return s.permits.grant(ctx, b) })
 	case kindRelease:
