Read the store from a few instances and let changes gather

Change: a pause of 300 ms after a change; four instances by rank read the store and are listed, the others learn from peers, with the age of what they know, and read it themselves if nothing current is heard for 4 s.

--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -56,14 +56,19 @@
 	// exitMargin is how long before the end of the grace period the process
 	// ends.
 	exitMargin = 300 * time.Millisecond
-	// leastWatch and largestWatch bound how long a watch of the store waits, and
-	// watchPerInstance is what each instance adds.
-	leastWatch       = 4 * time.Second
-	largestWatch     = 15 * time.Second
-	watchPerInstance = time.Second
-	// currentSlack is how much longer than a watch the configuration counts as
-	// the newest.
-	currentSlack = 2 * time.Second
+	// watchWait is how long a watch of the store waits.
+	watchWait = 5 * time.Second
+	// readers is the number of instances that read the store while all is well.
+	readers = 4
+	// peersFirst is how long a process that has just started waits for peers
+	// before it reads the store.
+	peersFirst = 1500 * time.Millisecond
+	// staleAge is the age of the records from which on an instance reads the
+	// store itself, and currentAge that from which on it does not vouch for them.
+	staleAge   = 4 * time.Second
+	currentAge = 6 * time.Second
+	// enlistPeriod is the time between two looks at whether to be listed.
+	enlistPeriod = 2 * time.Second
 	// storeConnections is the number of idle connections to the store that are
 	// kept, storeIdle for how long.
 	storeConnections = 4
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -86,7 +87,8 @@
 	g.follower.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*mirror.Page, error) {
 		return asPage(store.Watch(ctx, "", after, wait))
 	}
-	g.follower.Wait = g.watchWait
+	g.follower.Wait = watchWait
+	g.follower.Reading = g.reads
 	key := platform.InstancePrefix + g.options.Name
 	g.enlister = enlist.New(g.log)
 	g.enlister.Grant = func(ctx context.Context, ttl time.Duration) (uint64, error) {
@@ -130,10 +132,18 @@
 	return page, nil
 }
 
-// watchWait spreads the calls of many instances: in a small fleet each waits a
-// short time, so that a dead connection is noticed soon.
-func (g *Gateway) watchWait() time.Duration {
-	return min(max(leastWatch, time.Duration(g.fleet.size())*watchPerInstance), largestWatch)
+// reads tells whether this instance reads the store. A few do, so that the
+// calls do not grow with the fleet; the others learn from them, and read it
+// themselves if they hear of nothing current.
+func (g *Gateway) reads() bool {
+	up := time.Since(g.fleet.began)
+	if g.mirror.Revision() == 0 {
+		return up > peersFirst || slices.Contains(g.options.Peers, g.options.Listen.Peers)
+	}
+	if g.follower.Age() > staleAge {
+		return true
+	}
+	return g.board.Members.Load().Rank("store") < readers
 }
 
 // joinPeers connects this instance with the others.
@@ -147,11 +157,13 @@
 	g.peers = peer.NewServer(g.board, peer.NewPermits(g.board), traffic, g.log)
 	g.table = member.NewTable(g.board, self, time.Now)
 	g.table.Revision = g.mirror.Revision
+	g.table.Age = g.follower.Age
 	g.prober = member.NewProber(g.board, g.table)
 	g.prober.Ping = g.links.Ping
 	g.prober.PingVia = g.links.PingVia
 	g.prober.Seeds = func(context.Context) []netip.AddrPort { return g.seeds() }
 	g.prober.Newer = g.fetch
+	g.prober.Current = g.follower.Told
 	g.peers.Ping = func(ctx context.Context, gossip member.Gossip) member.Gossip {
 		g.prober.Heard(context.WithoutCancel(ctx), gossip)
 		return g.table.Answer(gossip.From.Name)
@@ -161,7 +173,11 @@
 		return err
 	}
 	g.peers.Suspects = func([]blackboard.Suspect) {}
-	g.peers.Records = g.mirror.Since
+	g.peers.Records = func(since uint64) mirror.Delta {
+		delta := g.mirror.Since(since)
+		delta.Age = g.follower.Age()
+		return delta
+	}
 	g.fleet = newFleetSize(g.board, len(g.options.Peers)+1)
 	g.metrics.Gauge("lentilward_peer_sent_bytes", "Bytes sent to peers.",
 		func() float64 { return float64(traffic.Sent.Load()) })
@@ -196,6 +212,7 @@
 	}
 	g.log.Debug("records from a peer", "peer", address, "since", since, "revision", delta.Revision, "records", len(delta.Records))
 	g.mirror.Apply(delta.Records, delta.Revision)
+	g.follower.Told(delta.Age)
 }
 
 // joinDirectory connects the directory with the mirror.
@@ -230,7 +247,7 @@
 		DecodeRequest: platform.DecodeRequest, EncodeAnswer: platform.EncodeAnswer,
 		EncodeRefusal: platform.EncodeRefusal,
 	}, g.directory, engine, g.log)
-	g.callers.Current = func() bool { return g.follower.Heard() < g.watchWait()+currentSlack }
+	g.callers.Current = func() bool { return g.follower.Age() < currentAge }
 }
 
 // Run serves until stop ends, then stops gracefully.
@@ -261,7 +278,7 @@
 	go g.directory.Run(life)
 	go g.prober.Run(life)
 	go g.follower.Run(life)
-	go g.enlister.Run(enlisted)
+	go g.enlist(enlisted)
 	go g.awaitReady(life)
 	select {
 	case err := <-failed:
@@ -272,6 +289,18 @@
 	return g.stop(callers)
 }
 
+// enlist keeps this instance in the store's list while it reads the store.
+func (g *Gateway) enlist(ctx context.Context) {
+	for !g.reads() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(enlistPeriod):
+		}
+	}
+	g.enlister.Run(ctx)
+}
+
 // stop lets the balancer notice, then lets the requests in flight end.
 func (g *Gateway) stop(callers *http.Server) error {
 	begin := time.Now()
--- a/lentilward/member/prober.go
+++ b/lentilward/member/prober.go
@@ -40,11 +40,14 @@
 	Seeds func(ctx context.Context) []netip.AddrPort
 	// Newer is called when a member has a newer configuration.
 	Newer func(ctx context.Context, address netip.AddrPort)
+	// Current is called when a member has none that is newer, and how long ago
+	// it was known to be the newest.
+	Current func(age time.Duration)
 }
 
 // NewProber returns a prober; Run starts it once its fields are set.
 func NewProber(board *blackboard.Board, table *Table) *Prober {
-	return &Prober{board: board, table: table, nudge: make(chan struct{}, 1)}
+	return &Prober{board: board, table: table, nudge: make(chan struct{}, 1), Current: func(time.Duration) {}}
 }
 
 // Nudge makes the prober tell a few members of a new configuration at once.
@@ -150,7 +153,10 @@
 // Heard takes in gossip that arrived and asks for a newer configuration.
 func (p *Prober) Heard(ctx context.Context, g Gossip) {
 	p.table.Receive(g)
-	if g.From.Revision > p.table.Revision() {
+	switch own := p.table.Revision(); {
+	case g.From.Revision > own:
 		go p.Newer(ctx, g.From.Address)
+	case g.From.Revision == own:
+		p.Current(g.Age)
 	}
 }
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -33,6 +33,8 @@
 type Gossip struct {
 	From blackboard.Member   `cbor:"from"`
 	News []blackboard.Member `cbor:"news"`
+	// Age is how long ago the sender's revision was known to be the newest.
+	Age time.Duration `cbor:"age,omitempty"`
 }
 
 // Table is the writer of the Members cell.
@@ -41,6 +43,8 @@
 	now   func() time.Time
 	// Revision returns the revision of what this instance can tell its peers.
 	Revision func() uint64
+	// Age returns how long ago that revision was known to be the newest.
+	Age func() time.Duration
 
 	mu      sync.Mutex
 	self    blackboard.Member
@@ -60,6 +64,7 @@
 func NewTable(board *blackboard.Board, self blackboard.Member, now func() time.Time) *Table {
 	t := &Table{board: board, now: now, self: self, members: make(map[string]*entry), changed: now()}
 	t.Revision = func() uint64 { return board.Config.Load().Revision }
+	t.Age = func() time.Duration { return 0 }
 	t.publish()
 	return t
 }
@@ -137,7 +142,7 @@
 		}
 	}
 	slices.SortFunc(news, func(a, b *entry) int { return cmp.Compare(a.repeats, b.repeats) })
-	g := Gossip{From: t.describe()}
+	g := Gossip{From: t.describe(), Age: t.Age()}
 	for _, e := range news[:min(len(news), newsPerMessage)] {
 		e.repeats++
 		g.News = append(g.News, e.Member)
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -18,6 +18,10 @@
 	// leastBackoff and largestBackoff bound the pause after a call that failed.
 	leastBackoff   = 100 * time.Millisecond
 	largestBackoff = 1500 * time.Millisecond
+	// burstPause is how long changes are let gather after the first one.
+	burstPause = 300 * time.Millisecond
+	// idlePeriod is the time between two looks at whether to read the store.
+	idlePeriod = 250 * time.Millisecond
 )
 
 // ErrHistoryGone means that the store no longer knows the changes after a
@@ -35,23 +39,28 @@
 type Follower struct {
 	mirror *Mirror
 	log    *slog.Logger
-	// heard and trouble are when the store last answered and last failed, in
-	// nanoseconds since the start.
-	heard, trouble atomic.Int64
-	epoch          time.Time
+	// current is when the mirror was last known to be current, and trouble when
+	// the store last failed, in nanoseconds since the start.
+	current, trouble atomic.Int64
+	// watching is set while the store would tell of a change.
+	watching atomic.Bool
+	epoch    time.Time
 
 	// List reads one page of all records that follow a key.
 	List func(ctx context.Context, after string) (*Page, error)
 	// Watch waits for changes after a revision.
 	Watch func(ctx context.Context, after uint64, wait time.Duration) (*Page, error)
 	// Wait is how long a watch waits for changes.
-	Wait func() time.Duration
+	Wait time.Duration
+	// Reading tells whether this instance is to read the store; the others
+	// learn from peers.
+	Reading func() bool
 }
 
 // NewFollower returns a follower; Run starts it once its fields are set.
 func NewFollower(m *Mirror, log *slog.Logger) *Follower {
-	f := &Follower{mirror: m, log: log, epoch: time.Now()}
-	f.heard.Store(-int64(time.Hour))
+	f := &Follower{mirror: m, log: log, epoch: time.Now(), Reading: func() bool { return true }}
+	f.current.Store(-int64(time.Hour))
 	f.trouble.Store(-int64(time.Hour))
 	return f
 }
@@ -60,36 +69,46 @@
 func (f *Follower) Run(ctx context.Context) {
 	backoff := leastBackoff
 	for ctx.Err() == nil {
-		err := f.step(ctx)
-		if err == nil {
-			f.heard.Store(int64(time.Since(f.epoch)))
-			backoff = leastBackoff
+		if !f.Reading() {
+			f.watching.Store(false)
+			sleep(ctx, idlePeriod)
 			continue
 		}
+		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		f.watching.Store(err == nil)
+		if err == nil {
+			f.Told(0)
+			backoff = leastBackoff
+			continue
+		}
 		f.trouble.Store(int64(time.Since(f.epoch)))
 		f.log.Warn("cannot follow the store", "error", err, "revision", f.mirror.Revision(), "pause", backoff)
-		pause := time.NewTimer(backoff/2 + rand.N(backoff))
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
-		}
+		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, largestBackoff)
 	}
 }
 
+// sleep waits for a time, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // step waits for changes once, or reads all pages if nothing is known yet.
 func (f *Follower) step(ctx context.Context) error {
 	if f.mirror.Revision() == 0 {
 		return f.list(ctx)
 	}
-	wait := f.Wait()
-	call, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	call, cancel := context.WithTimeout(ctx, f.Wait+watchGrace)
 	defer cancel()
-	page, err := f.Watch(call, f.mirror.Revision(), wait)
+	page, err := f.Watch(call, f.mirror.Revision(), f.Wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Info("history of the store is gone, reading it anew", "revision", f.mirror.Revision())
 		return f.list(ctx)
@@ -98,6 +117,10 @@
 		return err
 	}
 	f.mirror.Apply(page.Records, page.Revision)
+	if len(page.Records) > 0 {
+		// Changes come in bursts, and each call is paid for.
+		sleep(ctx, burstPause)
+	}
 	return nil
 }
 
@@ -127,9 +150,24 @@
 	return nil
 }
 
-// Heard returns how long ago the store last answered.
-func (f *Follower) Heard() time.Duration {
-	return time.Since(f.epoch) - time.Duration(f.heard.Load())
+// Age returns how long ago the mirror was last known to be current.
+func (f *Follower) Age() time.Duration {
+	if f.watching.Load() {
+		return 0
+	}
+	return time.Since(f.epoch) - time.Duration(f.current.Load())
+}
+
+// Told notes that the mirror was current some time ago, as a peer says that
+// knows as much.
+func (f *Follower) Told(age time.Duration) {
+	at := int64(time.Since(f.epoch) - age)
+	for {
+		old := f.current.Load()
+		if at <= old || f.current.CompareAndSwap(old, at) {
+			return
+		}
+	}
 }
 
 // Troubled returns how long ago a call to the store last failed.
--- a/lentilward/mirror/mirror.go
+++ b/lentilward/mirror/mirror.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Record is one key as it was last written, or deleted.
@@ -23,6 +24,8 @@
 	// Revision up to which the mirror knows every change.
 	Revision uint64   `cbor:"revision"`
 	Records  []Record `cbor:"records"`
+	// Age is how long ago the revision was known to be the newest.
+	Age time.Duration `cbor:"age"`
 }
 
 // Mirror is the copy. Deleted records stay in it, so that peers learn of them.
