--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -264,8 +264,10 @@
 		address netip.AddrPort
 		server  *http.Server
 	}{
-		{g.options.Listen.HTTP, callers}, {g.options.Listen.Readiness, readiness},
-		{g.options.Listen.Peers, peers}, {g.options.Listen.Monitor, monitors},
+		{g.options.Listen.HTTP, callers},
+		{g.options.Listen.Readiness, readiness},
+		{g.options.Listen.Peers, peers},
+		{g.options.Listen.Monitor, monitors},
 	} {
 		listener, err := net.Listen("tcp", l.address.String())
 		if err != nil {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,7 @@
 # listed in KNOWN-RED.txt is printed and passed over.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-modules="schema lentilward lentilctl lentilstand lentilload"
+modules="schema platform lentilward lentilctl lentilstand lentilload"
 
 echo "== gofumpt"
 unformatted=$(cd tools && GOWORK=off go tool gofumpt -l $(for m in $modules; do echo "../$m"; done) | grep -v '\.pb\.go$' || true)
@@ -21,6 +21,10 @@
 for p in lentilward lentilctl lentilstand lentilload; do
 	go build -o "bin/$p" "./$p"
 done
+echo "== build as deployed"
+bash -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)"
+echo "== names of the platform's wire"
+scripts/wire-names.sh
 echo "== capacity sheet is current"
 bin/lentilload capacity docs/slopes.toml --document docs/CAPACITY.md --check
 if [ -s KNOWN-RED.txt ]; then
