Let peers gather the parts that have no server in the own data centre

Change: a search hands such parts to a peer near their servers, which tries each once and sends one merged partial answer when the asker would hedge, then late parts one by one; what is late or fails goes on from the asker within budget and attempts. Watches wait 1.7 to 2.5 s and are given up 0.8 s later.

--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -39,6 +39,24 @@
 // Servers returns the servers. The list must not be modified.
 func (s *Service) Servers() []*Server { return *s.servers.Load() }
 
+// Far returns the data centres of the servers that may take a call, or nothing
+// if one of them is in this instance's own.
+func (s *Service) Far(now time.Time) []string {
+	var dataCentres []string
+	for _, x := range s.Servers() {
+		if x.Out() || x.blocked(now) {
+			continue
+		}
+		if !x.Remote {
+			return nil
+		}
+		if !slices.Contains(dataCentres, x.DataCentre) {
+			dataCentres = append(dataCentres, x.DataCentre)
+		}
+	}
+	return dataCentres
+}
+
 // Acquire takes a place on the server with the least expected cost, those of
 // avoid left out. It returns nil if none can take a call now.
 func (s *Service) Acquire(avoid []*Server, now time.Time) *Server {
--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -56,8 +56,10 @@
 	// exitMargin is how long before the end of the grace period the process
 	// ends.
 	exitMargin = 300 * time.Millisecond
-	// watchWait is how long a watch of the store waits.
-	watchWait = 5 * time.Second
+	// watchWait is how long a watch of the store waits. With a second more a
+	// watch that went silent is given up within the time in which a
+	// configuration must be in force.
+	watchWait = 2500 * time.Millisecond
 	// readers is the number of instances that read the store while all is well.
 	readers = 4
 	// peersFirst is how long a process that has just started waits for peers
@@ -67,6 +69,9 @@
 	// store itself, and currentAge that from which on it does not vouch for them.
 	staleAge   = 4 * time.Second
 	currentAge = 6 * time.Second
+	// helperPart is the least part of the most parts that a helper's data centre
+	// has.
+	helperPart = 0.7
 	// enlistPeriod is the time between two looks at whether to be listed.
 	enlistPeriod = 2 * time.Second
 	// storeConnections is the number of idle connections to the store that are
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -253,7 +253,9 @@
 		if lapsed && !t.Leaving {
 			t.goneAt = now.Add(lapseWait)
 		}
-		d.log.Info("record of a backend server has ended", "id", t.ID, "service", t.Service, "lapse", lapsed)
+		if lapsed {
+			d.log.Info("record of a backend server has ended, perhaps by a lapse", "id", t.ID, "service", t.Service)
+		}
 	}
 }
 
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/samber/lo"
 
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/blackboard"
@@ -243,6 +245,11 @@
 		AnswerMargin: time.Duration(g.options.Search.AnswerMargin),
 	}, conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply})
 	engine.Share = g.fleet.share
+	engine.Ask = g.links.Gather
+	engine.Helper = g.helper
+	g.peers.Gather = func(ctx context.Context, x scatter.Gather, emit func(scatter.Partial)) {
+		g.gather(ctx, engine, x, emit)
+	}
 	g.callers = web.New(web.Format{
 		DecodeRequest: platform.DecodeRequest, EncodeAnswer: platform.EncodeAnswer,
 		EncodeRefusal: platform.EncodeRefusal,
@@ -250,6 +257,45 @@
 	g.callers.Current = func() bool { return g.follower.Age() < currentAge }
 }
 
+// helper picks a member in one of the data centres that have most parts.
+func (g *Gateway) helper(parts map[string]int) (netip.AddrPort, string, bool) {
+	most := lo.Max(lo.Values(parts))
+	members := g.board.Members.Load()
+	var candidates []blackboard.Member
+	for _, m := range members.List {
+		near := parts[m.DataCentre]
+		if m.Name != members.Self && m.State == blackboard.Alive && float64(near) >= helperPart*float64(most) {
+			candidates = append(candidates, m)
+		}
+	}
+	if len(candidates) == 0 {
+		return netip.AddrPort{}, "", false
+	}
+	m := candidates[rand.IntN(len(candidates))]
+	return m.Address, m.DataCentre, true
+}
+
+// gather runs part of a search for a peer, if this instance knows all that it
+// takes.
+func (g *Gateway) gather(ctx context.Context, engine *scatter.Engine, x scatter.Gather, emit func(scatter.Partial)) {
+	snapshot := g.directory.Current.Load()
+	if snapshot == nil {
+		return
+	}
+	state := snapshot.Routes[x.Route]
+	services := make([]*balance.Service, 0, len(x.Services))
+	for _, name := range x.Services {
+		if s := snapshot.Services[name]; s != nil {
+			services = append(services, s)
+		}
+	}
+	if state == nil || len(services) != len(x.Services) {
+		g.log.Info("cannot gather for a peer", "request-id", x.Request.ID, "route", x.Route)
+		return
+	}
+	engine.Gather(ctx, x, state, services, emit)
+}
+
 // Run serves until stop ends, then stops gracefully.
 func (g *Gateway) Run(life, stop context.Context) error {
 	if g.options.Memory > 0 {
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -12,7 +12,9 @@
 const (
 	// watchGrace is how much longer than its wait a watch may take before its
 	// connection counts as dead.
-	watchGrace = time.Second
+	watchGrace = 800 * time.Millisecond
+	// waitSpread is the inverse of the share by which waits differ.
+	waitSpread = 3
 	// listTimeout bounds the read of one page.
 	listTimeout = 2 * time.Second
 	// leastBackoff and largestBackoff bound the pause after a call that failed.
@@ -106,9 +108,11 @@
 	if f.mirror.Revision() == 0 {
 		return f.list(ctx)
 	}
-	call, cancel := context.WithTimeout(ctx, f.Wait+watchGrace)
+	// The watches of several instances do not end together.
+	wait := f.Wait - rand.N(f.Wait/waitSpread+1)
+	call, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
-	page, err := f.Watch(call, f.mirror.Revision(), f.Wait)
+	page, err := f.Watch(call, f.mirror.Revision(), wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Info("history of the store is gone, reading it anew", "revision", f.mirror.Revision())
 		return f.list(ctx)
--- a/lentilward/peer/frame.go
+++ b/lentilward/peer/frame.go
@@ -30,6 +30,9 @@
 	kindSuspect kind = "suspect"
 	kindWarmth  kind = "warmth"
 	kindRecords kind = "records"
+	kindGather  kind = "gather"
+	kindPartial kind = "partial"
+	kindCancel  kind = "cancel"
 )
 
 // frame is one message. A reply has the id of the frame that it answers.
@@ -54,6 +57,12 @@
 	Since uint64 `cbor:"since"`
 }
 
+// cancelBody ends a gather, hard if nobody waits for it any more.
+type cancelBody struct {
+	ID   uint64 `cbor:"id"`
+	Hard bool   `cbor:"hard"`
+}
+
 // pingViaBody asks the receiver to probe the target.
 type pingViaBody struct {
 	Target netip.AddrPort `cbor:"target"`
--- a/lentilward/peer/link.go
+++ b/lentilward/peer/link.go
@@ -37,6 +37,8 @@
 	conn    *websocket.Conn
 	next    atomic.Uint64
 	pending sync.Map
+	// streams are the gathers that the peer runs for this instance.
+	streams sync.Map
 	closed  chan struct{}
 	bytes   *Traffic
 }
@@ -69,6 +71,7 @@
 		c.read()
 		l.byAddress.CompareAndDelete(address, c)
 		close(c.closed)
+		c.endStreams()
 		conn.CloseNow()
 	}()
 	return c, nil
@@ -95,6 +98,9 @@
 			c.bytes.Malformed.Add(1)
 			return
 		}
+		if c.receivePartial(f) {
+			continue
+		}
 		if ch, ok := c.pending.LoadAndDelete(f.ID); ok {
 			ch.(chan frame) <- f
 		}
@@ -103,18 +109,11 @@
 
 func (c *link) call(ctx context.Context, k kind, body, reply any) error {
 	id := c.next.Add(1)
-	data, err := encode(id, k, body)
-	if err != nil {
-		return err
-	}
 	answer := make(chan frame, 1)
 	c.pending.Store(id, answer)
 	defer c.pending.Delete(id)
-	c.bytes.Sent.Add(int64(len(data)))
-	// A write that is cancelled would close the connection under the calls of
-	// others.
-	if err := c.conn.Write(context.WithoutCancel(ctx), websocket.MessageBinary, data); err != nil {
-		return merry.Prepend(ErrClosed, err.Error())
+	if err := c.write(id, k, body); err != nil {
+		return err
 	}
 	select {
 	case f := <-answer:
@@ -126,6 +125,20 @@
 	}
 }
 
+// write sends a frame. A write that is cancelled would close the connection
+// under the calls of others, so that none is.
+func (c *link) write(id uint64, k kind, body any) error {
+	data, err := encode(id, k, body)
+	if err != nil {
+		return err
+	}
+	c.bytes.Sent.Add(int64(len(data)))
+	if err := c.conn.Write(context.Background(), websocket.MessageBinary, data); err != nil {
+		return merry.Prepend(ErrClosed, err.Error())
+	}
+	return nil
+}
+
 func (c *link) result(f frame, reply any) error {
 	if f.Kind == kindError {
 		var e errorBody
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -14,6 +14,7 @@
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/mirror"
+	"lentilward.org/lentilward/scatter"
 )
 
 // path is where peers connect.
@@ -34,6 +35,8 @@
 	Suspects func([]blackboard.Suspect)
 	// Records returns the records that are newer than a revision.
 	Records func(since uint64) mirror.Delta
+	// Gather runs part of a search for a peer.
+	Gather func(ctx context.Context, g scatter.Gather, emit func(scatter.Partial))
 }
 
 // NewServer returns a server; its fields must be set before it serves.
@@ -41,6 +44,7 @@
 	return &Server{
 		board: board, permits: permits, traffic: traffic, log: log,
 		Records: func(uint64) mirror.Delta { return mirror.Delta{} },
+		Gather:  func(context.Context, scatter.Gather, func(scatter.Partial)) {},
 	}
 }
 
@@ -61,6 +65,8 @@
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxFrame)
 	ctx := r.Context()
+	running := &gathers{cancel: make(map[uint64]context.CancelCauseFunc)}
+	defer running.endAll()
 	for {
 		_, data, err := conn.Read(ctx)
 		if err != nil {
@@ -74,7 +80,14 @@
 			conn.Close(websocket.StatusUnsupportedData, "malformed frame")
 			return
 		}
-		go s.answer(ctx, conn, f)
+		switch f.Kind {
+		case kindGather:
+			go s.gather(ctx, conn, f, running)
+		case kindCancel:
+			s.cancel(f, running)
+		default:
+			go s.answer(ctx, conn, f)
+		}
 	}
 }
 
@@ -86,7 +99,12 @@
 		k = kindError
 		body = errorBody{Message: err.Error()}
 	}
-	data, err := encode(f.ID, k, body)
+	s.send(ctx, conn, f.ID, k, body)
+}
+
+// send writes a frame to a peer.
+func (s *Server) send(ctx context.Context, conn *websocket.Conn, id uint64, k kind, body any) {
+	data, err := encode(id, k, body)
 	if err != nil {
 		s.log.Error("cannot encode reply", "error", err)
 		return
@@ -97,6 +115,20 @@
 	}
 }
 
+// cancel ends a gather that the peer does not wait for any more.
+func (s *Server) cancel(f frame, running *gathers) {
+	var b cancelBody
+	if err := cbor.Unmarshal(f.Body, &b); err != nil {
+		s.traffic.Malformed.Add(1)
+		return
+	}
+	var cause error
+	if b.Hard {
+		cause = scatter.ErrAbandoned
+	}
+	running.end(b.ID, cause)
+}
+
 func (s *Server) serve(ctx context.Context, f frame) (any, error) {
 	switch f.Kind {
 	case kindPing:
--- a/lentilward/scatter/conclude.go
+++ b/lentilward/scatter/conclude.go
@@ -61,8 +61,17 @@
 	}
 	a := &domain.Answer{Receipts: make([]string, 0, r.have)}
 	top := newTop(r.task.Route.Results)
+	merged := make(map[*group]bool)
 	for i := range r.parts {
-		reply := r.parts[i].reply
+		reply, group := r.parts[i].reply, r.parts[i].group
+		if group != nil {
+			if !merged[group] {
+				merged[group] = true
+				a.Receipts = append(a.Receipts, group.receipts...)
+				top.add(group.records)
+			}
+			continue
+		}
 		if reply == nil {
 			a.Missing++
 			continue
@@ -102,7 +111,7 @@
 	switch {
 	case r.have > 0:
 		return domain.Ran
-	case r.stats.Calls > r.refused:
+	case r.stats.Calls > r.refused || r.stats.Delegated > 0:
 		return domain.Unknown
 	}
 	return domain.NotRun
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"lentilward.org/lentilward/balance"
@@ -31,11 +32,21 @@
 	// Share returns this instance's share of an allowance that all instances
 	// have together.
 	Share func() float64
+	// Helper picks a peer that is near to servers in one of the data centres,
+	// which come with the number of parts that they have.
+	Helper func(parts map[string]int) (address netip.AddrPort, dataCentre string, ok bool)
+	// Ask lets a peer gather parts. It returns at once; emit and ended are called
+	// later and must not block. Cancel ends the work at the peer, hard if nobody
+	// waits for it any more.
+	Ask func(peer netip.AddrPort, g Gather, emit func(Partial), ended func(error)) (cancel func(hard bool), err error)
 }
 
 // New returns an engine.
 func New(policy Policy, codec conn.Codec) *Engine {
-	return &Engine{policy: policy, codec: codec, Share: func() float64 { return 1 }}
+	return &Engine{
+		policy: policy, codec: codec, Share: func() float64 { return 1 },
+		Helper: func(map[string]int) (netip.AddrPort, string, bool) { return netip.AddrPort{}, "", false },
+	}
 }
 
 // Task is one request with all that was pinned when it was admitted.
@@ -52,6 +63,8 @@
 // Stats are what it took to answer a request.
 type Stats struct {
 	Calls, Hedges, Repeats, Missing int
+	// Delegated is the number of parts that a peer gathered.
+	Delegated int
 	// Waited is the number of calls that had to wait for room.
 	Waited int
 }
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -37,6 +37,10 @@
 	dials context.Context
 	stop  context.CancelFunc
 	timer *time.Timer
+	// delegated are the parts that a peer gathers, news is what it tells.
+	delegated  []int
+	news       chan news
+	cancelPeer func(hard bool)
 }
 
 // part is what one service contributes.
@@ -50,6 +54,9 @@
 	next   time.Time
 	waiter *balance.Waiter
 	closed bool
+	// helped is set while a peer may bring the part, and group once it has.
+	helped bool
+	group  *group
 	reply  *domain.Reply
 	// failure is the last reply that was not a success.
 	failure *domain.Reply
@@ -89,8 +96,11 @@
 	if refusal := r.foresee(now); refusal != nil {
 		return nil, refusal
 	}
+	r.delegate(now)
 	for i := range r.parts {
-		r.start(i, now)
+		if !r.parts[i].helped {
+			r.start(i, now)
+		}
 	}
 	r.timer = time.NewTimer(0)
 	defer r.timer.Stop()
@@ -107,6 +117,8 @@
 		case i := <-r.room:
 			r.parts[i].waiter = nil
 			r.start(i, time.Now())
+		case n := <-r.news:
+			r.hear(n, time.Now())
 		case <-r.timer.C:
 			r.tick(time.Now())
 		case <-ctx.Done():
@@ -164,7 +176,7 @@
 	if p.closed || p.waiter != nil || p.started >= maxCalls || p.attempts >= r.task.Route.MaxAttempts {
 		return
 	}
-	hedge := len(p.calls) > 0
+	hedge := len(p.calls) > 0 || p.helped
 	if hedge && (!r.engine.policy.Hedge || !r.task.Route.Idempotent) {
 		return
 	}
@@ -268,7 +280,7 @@
 		}
 		return
 	}
-	if p.closed || len(p.calls) > 0 {
+	if p.closed || len(p.calls) > 0 || p.helped {
 		return
 	}
 	p.next = time.Time{}
@@ -299,6 +311,9 @@
 // finish leaves queues and bounds the calls that go on after the answer.
 func (r *run) finish() {
 	r.stop()
+	if r.cancelPeer != nil {
+		r.cancelPeer(false)
+	}
 	now := time.Now()
 	for i := range r.parts {
 		p := &r.parts[i]
@@ -313,6 +328,10 @@
 
 // abort ends all calls, since nobody wants their replies.
 func (r *run) abort() {
+	if r.cancelPeer != nil {
+		r.cancelPeer(true)
+		r.cancelPeer = nil
+	}
 	for i := range r.parts {
 		for _, c := range r.parts[i].calls {
 			c.abort()
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -123,7 +123,7 @@
 	}
 	attributes := []any{
 		"request-id", request.ID, "route", end.Route, "status", status, "took", end.Took, "calls", end.Stats.Calls,
-		"hedges", end.Stats.Hedges, "repeats", end.Stats.Repeats, "waited", end.Stats.Waited,
+		"hedges", end.Stats.Hedges, "repeats", end.Stats.Repeats, "waited", end.Stats.Waited, "delegated", end.Stats.Delegated,
 		"missing", end.Stats.Missing,
 	}
 	if end.Refusal != nil {
