--- a/lentilward/balance/budget.go
+++ b/lentilward/balance/budget.go
@@ -28,7 +28,8 @@
 
 // Budget is what this instance may spend of a service's allowance.
 type Budget struct {
-	allowance Allowance
+	// allowance may change while the budget is used.
+	allowance func() *Allowance
 	epoch     time.Time
 
 	mu      sync.Mutex
@@ -40,8 +41,8 @@
 }
 
 // NewBudget returns a budget with nothing spent.
-func NewBudget(a Allowance) *Budget {
-	return &Budget{allowance: a, epoch: time.Now()}
+func NewBudget(allowance func() *Allowance) *Budget {
+	return &Budget{allowance: allowance, epoch: time.Now()}
 }
 
 // First notes the first call of a request.
@@ -59,7 +60,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	allowed := safety * (b.allowance.Ratio*float64(b.firsts) + b.allowance.Slack*share)
+	a := b.allowance()
+	allowed := safety * (a.Ratio*float64(b.firsts) + a.Slack*share)
 	if hedge {
 		allowed *= hedgePart
 	}
@@ -85,7 +87,7 @@
 // advance forgets what has left the window. Repeats stay one slot longer than
 // requests, so that the sums err on the safe side.
 func (b *Budget) advance(now time.Time) {
-	slot := int64(now.Sub(b.epoch) / max(1, b.allowance.Window/(slots-2)))
+	slot := int64(now.Sub(b.epoch) / max(1, b.allowance().Window/(slots-2)))
 	if slot-b.current >= slots {
 		b.first, b.repeats = [slots]int{}, [slots]int{}
 		b.firsts, b.spent, b.current = 0, 0, slot
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -19,8 +19,8 @@
 }
 
 // NewService returns a service without servers.
-func NewService(name string, a Allowance) *Service {
-	s := &Service{Name: name, Budget: NewBudget(a)}
+func NewService(name string, allowance func() *Allowance) *Service {
+	s := &Service{Name: name, Budget: NewBudget(allowance)}
 	s.SetServers(nil)
 	return s
 }
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lentilward.org/lentilward/balance"
@@ -23,6 +24,11 @@
 	// lapseWait is how long a server whose record ended with a lapse of the store
 	// is believed to be there: it comes back within two seconds if it lives.
 	lapseWait = 2200 * time.Millisecond
+	// confirmWait is how long after that a reading of the store is waited for that
+	// shows that the record is still missing, by instances that learn from peers.
+	confirmWait = 3 * time.Second
+	// confirmPeriod is the time between two looks at whether it was read.
+	confirmPeriod = 300 * time.Millisecond
 	// lapseMemory is how long after trouble with the store records that end may
 	// have lapsed.
 	lapseMemory = 4 * time.Second
@@ -60,11 +66,16 @@
 	Instances func() int
 	// Troubled returns how long ago a call to the store last failed.
 	Troubled func() time.Duration
+	// Listed returns how long ago the last whole reading of the store began, and
+	// Relist asks for one. Reading tells whether this instance reads the store.
+	Listed  func() time.Duration
+	Relist  func()
+	Reading func() bool
 	// NewServer makes the state of a server.
 	NewServer func(domain.BackendServer) *balance.Server
 
 	records   Records
-	allowance balance.Allowance
+	allowance atomic.Pointer[balance.Allowance]
 	log       *slog.Logger
 	news      chan struct{}
 	mu        sync.Mutex
@@ -75,6 +86,9 @@
 	servers       map[string]*tracked
 	services      map[string]*balance.Service
 	routes        map[string]*balance.Route
+	// recheckAt is when to look again at servers that may have lapsed; zero if
+	// there are none.
+	recheckAt time.Time
 	// instances are where others can be met, by key.
 	instances sync.Map
 }
@@ -85,17 +99,24 @@
 	server *balance.Server
 	// goneAt is when the server counts as gone; zero while its record stands.
 	goneAt time.Time
+	// lapsed is set if the record may have ended with a lapse of the store.
+	lapsed bool
 }
 
 // New returns a directory; Run starts it once its fields are set.
-func New(records Records, allowance balance.Allowance, log *slog.Logger) *Directory {
-	return &Directory{
-		records: records, allowance: allowance, log: log, news: make(chan struct{}, 1),
+func New(records Records, log *slog.Logger) *Directory {
+	d := &Directory{
+		records: records, log: log, news: make(chan struct{}, 1),
 		withdrawn: make(map[string]bool), servers: make(map[string]*tracked),
 		services: make(map[string]*balance.Service), routes: make(map[string]*balance.Route),
 	}
+	d.allowance.Store(&balance.Allowance{})
+	return d
 }
 
+// SetAllowance replaces the allowance of repeats of all services.
+func (d *Directory) SetAllowance(a balance.Allowance) { d.allowance.Store(&a) }
+
 // Changed takes in new records. It does not block.
 func (d *Directory) Changed(records []mirror.Record) {
 	d.mu.Lock()
@@ -250,7 +271,8 @@
 			continue
 		}
 		t.goneAt = now
-		if lapsed && !t.Leaving {
+		t.lapsed = lapsed && !t.Leaving
+		if t.lapsed {
 			t.goneAt = now.Add(lapseWait)
 		}
 		if lapsed {
@@ -259,7 +281,23 @@
 	}
 }
 
+// confirmed tells whether a record that ended with a lapse is known to be
+// missing still. While the store cannot be read the server's own answers decide.
+func (d *Directory) confirmed(t *tracked, now time.Time) bool {
+	if !t.lapsed || now.Add(-d.Listed()).After(t.goneAt) {
+		return true
+	}
+	if !d.Reading() {
+		return now.Sub(t.goneAt) > confirmWait
+	}
+	d.Relist()
+	return false
+}
+
 func (d *Directory) nextGone() time.Time {
+	if !d.recheckAt.IsZero() {
+		return d.recheckAt
+	}
 	var next time.Time
 	for _, t := range d.servers {
 		if !t.goneAt.IsZero() && (next.IsZero() || t.goneAt.Before(next)) {
--- a/lentilward/directory/snapshot.go
+++ b/lentilward/directory/snapshot.go
@@ -10,10 +10,14 @@
 // rebuild gives each service its servers and writes a new snapshot.
 func (d *Directory) rebuild(now time.Time) {
 	byService := make(map[string][]*balance.Server)
+	unconfirmed := false
 	for key, t := range d.servers {
 		if !t.goneAt.IsZero() && !now.Before(t.goneAt) {
-			d.remove(key, t, "record has ended")
-			continue
+			if d.confirmed(t, now) {
+				d.remove(key, t, "record has ended")
+				continue
+			}
+			unconfirmed = true
 		}
 		out := t.Leaving || d.withdrawn[t.DataCentre]
 		if t.server.SetOut(out) && out {
@@ -23,6 +27,10 @@
 			byService[t.Service] = append(byService[t.Service], t.server)
 		}
 	}
+	d.recheckAt = time.Time{}
+	if unconfirmed {
+		d.recheckAt = now.Add(confirmPeriod)
+	}
 	if d.configuration == nil {
 		return
 	}
@@ -55,7 +63,7 @@
 func (d *Directory) service(name string) *balance.Service {
 	s := d.services[name]
 	if s == nil {
-		s = balance.NewService(name, d.allowance)
+		s = balance.NewService(name, d.allowance.Load)
 		d.services[name] = s
 	}
 	return s
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -45,7 +45,8 @@
 
 // Gateway runs the components of an instance on the platform.
 type Gateway struct {
-	options   *Options
+	options   atomic.Pointer[Options]
+	level     *slog.LevelVar
 	log       *slog.Logger
 	board     *blackboard.Board
 	mirror    *mirror.Mirror
@@ -57,6 +58,7 @@
 	links     *peer.Links
 	peers     *peer.Server
 	callers   *web.Server
+	engine    *scatter.Engine
 	metrics   *monitor.Metrics
 	fleet     *fleetSize
 	// fetching is set while a peer is asked for its records.
@@ -64,22 +66,39 @@
 }
 
 // newGateway makes the components and joins their function fields.
-func newGateway(o *Options, log *slog.Logger) *Gateway {
+func newGateway(o *Options, log *slog.Logger, level *slog.LevelVar) *Gateway {
 	g := &Gateway{
-		options: o, log: log, mirror: mirror.New(), metrics: monitor.NewMetrics(),
+		log: log, level: level, mirror: mirror.New(), metrics: monitor.NewMetrics(),
 		board: blackboard.New(blackboard.Own{Name: o.Name, DataCentre: o.DataCentre}),
 	}
+	g.options.Store(o)
 	g.follower = mirror.NewFollower(g.mirror, log)
 	g.joinStore()
 	g.joinPeers()
 	g.joinDirectory()
 	g.joinCallers()
+	g.applySettings()
 	return g
 }
 
+// applySettings takes over the settings that can change while it runs.
+func (g *Gateway) applySettings() {
+	o := g.options.Load()
+	g.level.Set(logLevels[o.Log.Level])
+	if o.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(o.Memory) * memoryPart * (1 << 20)))
+	}
+	g.directory.SetAllowance(balance.Allowance{
+		Ratio: o.Repeats.Ratio, Slack: o.Repeats.Slack, Window: time.Duration(o.Repeats.Window),
+	})
+	g.engine.SetPolicy(scatter.Policy{
+		Hedge: o.Search.Hedge, EarlyAnswer: o.Search.EarlyAnswer, AnswerMargin: time.Duration(o.Search.AnswerMargin),
+	})
+}
+
 // joinStore connects the follower and the enlister with the store.
 func (g *Gateway) joinStore() {
-	store := platform.NewStore(g.options.Store.Address, &http.Client{Transport: &http.Transport{
+	store := platform.NewStore(g.options.Load().Store.Address, &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: storeIdle,
 		DialContext: (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
 	}})
@@ -91,7 +110,7 @@
 	}
 	g.follower.Wait = watchWait
 	g.follower.Reading = g.reads
-	key := platform.InstancePrefix + g.options.Name
+	key := platform.InstancePrefix + g.options.Load().Name
 	g.enlister = enlist.New(g.log)
 	g.enlister.Grant = func(ctx context.Context, ttl time.Duration) (uint64, error) {
 		lease, _, err := store.Grant(ctx, ttl)
@@ -107,7 +126,7 @@
 	}
 	g.enlister.End = store.End
 	g.enlister.Write = func(ctx context.Context, lease uint64) error {
-		value, err := platform.EncodeInstance(g.options.Listen.Peers)
+		value, err := platform.EncodeInstance(g.options.Load().Listen.Peers)
 		if err != nil {
 			return err
 		}
@@ -140,7 +159,7 @@
 func (g *Gateway) reads() bool {
 	up := time.Since(g.fleet.began)
 	if g.mirror.Revision() == 0 {
-		return up > peersFirst || slices.Contains(g.options.Peers, g.options.Listen.Peers)
+		return up > peersFirst || slices.Contains(g.options.Load().Peers, g.options.Load().Listen.Peers)
 	}
 	if g.follower.Age() > staleAge {
 		return true
@@ -152,7 +171,7 @@
 func (g *Gateway) joinPeers() {
 	traffic := &peer.Traffic{}
 	self := blackboard.Member{
-		Name: g.options.Name, Address: g.options.Listen.Peers, DataCentre: g.options.DataCentre,
+		Name: g.options.Load().Name, Address: g.options.Load().Listen.Peers, DataCentre: g.options.Load().DataCentre,
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	g.links = peer.NewLinks(traffic)
@@ -180,7 +199,7 @@
 		delta.Age = g.follower.Age()
 		return delta
 	}
-	g.fleet = newFleetSize(g.board, len(g.options.Peers)+1)
+	g.fleet = newFleetSize(g.board, len(g.options.Load().Peers)+1)
 	g.metrics.Gauge("lentilward_peer_sent_bytes", "Bytes sent to peers.",
 		func() float64 { return float64(traffic.Sent.Load()) })
 	g.metrics.Gauge("lentilward_instances", "Instances that share limits.",
@@ -190,8 +209,8 @@
 // seeds are the addresses where other instances may be.
 func (g *Gateway) seeds() []netip.AddrPort {
 	var seeds []netip.AddrPort
-	for _, address := range append(g.directory.Peers(), g.options.Peers...) {
-		if address != g.options.Listen.Peers {
+	for _, address := range append(g.directory.Peers(), g.options.Load().Peers...) {
+		if address != g.options.Load().Listen.Peers {
 			seeds = append(seeds, address)
 		}
 	}
@@ -219,18 +238,16 @@
 
 // joinDirectory connects the directory with the mirror.
 func (g *Gateway) joinDirectory() {
-	allowance := balance.Allowance{
-		Ratio: g.options.Repeats.Ratio, Slack: g.options.Repeats.Slack, Window: time.Duration(g.options.Repeats.Window),
-	}
 	g.directory = directory.New(directory.Records{
 		ConfigurationKey: platform.ConfigurationKey, ServerPrefix: platform.ServerPrefix,
 		InstancePrefix: platform.InstancePrefix, Configuration: platform.DecodeConfiguration,
 		Server: platform.DecodeServer, Instance: platform.DecodeInstance, Withdrawn: platform.Withdrawn,
-	}, allowance, g.log)
+	}, g.log)
 	g.directory.Instances = g.fleet.size
 	g.directory.Troubled = g.follower.Troubled
+	g.directory.Listed, g.directory.Relist, g.directory.Reading = g.follower.Listed, g.follower.Relist, g.reads
 	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
-		return balance.NewServer(b, conn.NewPool(b.Address), b.DataCentre != g.options.DataCentre)
+		return balance.NewServer(b, conn.NewPool(b.Address), b.DataCentre != g.options.Load().DataCentre)
 	}
 	g.mirror.Changed = func(records []mirror.Record) {
 		g.directory.Changed(records)
@@ -240,20 +257,15 @@
 
 // joinCallers connects the callers' side with the engine.
 func (g *Gateway) joinCallers() {
-	engine := scatter.New(scatter.Policy{
-		Hedge: g.options.Search.Hedge, EarlyAnswer: g.options.Search.EarlyAnswer,
-		AnswerMargin: time.Duration(g.options.Search.AnswerMargin),
-	}, conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply})
-	engine.Share = g.fleet.share
-	engine.Ask = g.links.Gather
-	engine.Helper = g.helper
-	g.peers.Gather = func(ctx context.Context, x scatter.Gather, emit func(scatter.Partial)) {
-		g.gather(ctx, engine, x, emit)
-	}
+	g.engine = scatter.New(conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply})
+	g.engine.Share = g.fleet.share
+	g.engine.Ask = g.links.Gather
+	g.engine.Helper = g.helper
+	g.peers.Gather = g.gather
 	g.callers = web.New(web.Format{
 		DecodeRequest: platform.DecodeRequest, EncodeAnswer: platform.EncodeAnswer,
 		EncodeRefusal: platform.EncodeRefusal,
-	}, g.directory, engine, g.log)
+	}, g.directory, g.engine, g.log)
 	g.callers.Current = func() bool { return g.follower.Age() < currentAge }
 }
 
@@ -277,7 +289,7 @@
 
 // gather runs part of a search for a peer, if this instance knows all that it
 // takes.
-func (g *Gateway) gather(ctx context.Context, engine *scatter.Engine, x scatter.Gather, emit func(scatter.Partial)) {
+func (g *Gateway) gather(ctx context.Context, x scatter.Gather, emit func(scatter.Partial)) {
 	snapshot := g.directory.Current.Load()
 	if snapshot == nil {
 		return
@@ -293,14 +305,11 @@
 		g.log.Info("cannot gather for a peer", "request-id", x.Request.ID, "route", x.Route)
 		return
 	}
-	engine.Gather(ctx, x, state, services, emit)
+	g.engine.Gather(ctx, x, state, services, emit)
 }
 
 // Run serves until stop ends, then stops gracefully.
 func (g *Gateway) Run(life, stop context.Context) error {
-	if g.options.Memory > 0 {
-		debug.SetMemoryLimit(int64(float64(g.options.Memory) * memoryPart * (1 << 20)))
-	}
 	callers := g.callers.HTTP()
 	peers := &http.Server{Handler: g.peers.Handler(), ReadHeaderTimeout: headerTimeout}
 	readiness := &http.Server{Handler: http.HandlerFunc(g.readiness), ReadHeaderTimeout: headerTimeout}
@@ -310,10 +319,10 @@
 		address netip.AddrPort
 		server  *http.Server
 	}{
-		{g.options.Listen.HTTP, callers},
-		{g.options.Listen.Readiness, readiness},
-		{g.options.Listen.Peers, peers},
-		{g.options.Listen.Monitor, monitors},
+		{g.options.Load().Listen.HTTP, callers},
+		{g.options.Load().Listen.Readiness, readiness},
+		{g.options.Load().Listen.Peers, peers},
+		{g.options.Load().Listen.Monitor, monitors},
 	} {
 		listener, err := net.Listen("tcp", l.address.String())
 		if err != nil {
@@ -356,7 +365,7 @@
 	g.callers.Stop()
 	g.table.Leave()
 	g.prober.Nudge()
-	grace := time.Duration(g.options.Stop.Grace)
+	grace := time.Duration(g.options.Load().Stop.Grace)
 	time.Sleep(min(rotationDelay, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(grace-exitMargin))
 	defer cancel()
--- a/lentilward/log.go
+++ b/lentilward/log.go
@@ -13,8 +13,8 @@
 }
 
 // newLog returns a log with the instance's name in every line.
-func newLog(o *Options, w io.Writer) *slog.Logger {
-	settings := &slog.HandlerOptions{Level: logLevels[o.Log.Level]}
+func newLog(o *Options, w io.Writer, level slog.Leveler) *slog.Logger {
+	settings := &slog.HandlerOptions{Level: level}
 	var h slog.Handler = slog.NewTextHandler(w, settings)
 	if o.Log.Format == "json" {
 		h = slog.NewJSONHandler(w, settings)
--- a/lentilward/main.go
+++ b/lentilward/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -33,7 +34,7 @@
 	if command == check.FullCommand() {
 		return
 	}
-	if err := serve(options); err != nil {
+	if err := serve(path, options); err != nil {
 		fmt.Fprintln(os.Stderr, "lentilward:", err)
 		os.Exit(exitFailure)
 	}
@@ -41,13 +42,13 @@
 
 // serve runs the instance until SIGTERM, then stops it gracefully. A second
 // signal changes nothing, since work is still in flight.
-func serve(options *Options) error {
+func serve(path string, options *Options) error {
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	if options.OnPlatform() {
-		return newGateway(options, newLog(options, os.Stdout)).Run(life, stop)
+		return serveOnPlatform(path, options, life, stop)
 	}
 	injector := do.New()
 	do.ProvideValue(injector, options)
@@ -58,3 +59,13 @@
 	}
 	return core.Run(life, stop)
 }
+
+// serveOnPlatform runs an instance on the platform, and follows its settings.
+func serveOnPlatform(path string, options *Options, life, stop context.Context) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	level := &slog.LevelVar{}
+	g := newGateway(options, newLog(options, os.Stdout, level), level)
+	go watchSettings(life, path, hangup, func() { g.reload(path) })
+	return g.Run(life, stop)
+}
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -30,6 +30,9 @@
 // revision.
 var ErrHistoryGone = errors.New("history is gone")
 
+// errSilent means that a watch did not end with its wait.
+var errSilent = errors.New("watch is silent")
+
 // Page is one page of a listing, or the changes that a watch saw.
 type Page struct {
 	Records  []Record
@@ -46,7 +49,11 @@
 	current, trouble atomic.Int64
 	// watching is set while the store would tell of a change.
 	watching atomic.Bool
-	epoch    time.Time
+	// listed is when the store was last read as a whole, in nanoseconds since the
+	// start.
+	listed atomic.Int64
+	relist chan struct{}
+	epoch  time.Time
 
 	// List reads one page of all records that follow a key.
 	List func(ctx context.Context, after string) (*Page, error)
@@ -61,7 +68,8 @@
 
 // NewFollower returns a follower; Run starts it once its fields are set.
 func NewFollower(m *Mirror, log *slog.Logger) *Follower {
-	f := &Follower{mirror: m, log: log, epoch: time.Now(), Reading: func() bool { return true }}
+	f := &Follower{mirror: m, log: log, epoch: time.Now(), relist: make(chan struct{}, 1), Reading: func() bool { return true }}
+	f.listed.Store(-int64(time.Hour))
 	f.current.Store(-int64(time.Hour))
 	f.trouble.Store(-int64(time.Hour))
 	return f
@@ -110,15 +118,27 @@
 	}
 	// The watches of several instances do not end together.
 	wait := f.Wait - rand.N(f.Wait/waitSpread+1)
-	call, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	call, cancel := context.WithTimeoutCause(ctx, wait+watchGrace, errSilent)
 	defer cancel()
+	var again atomic.Bool
+	go func() {
+		select {
+		case <-f.relist:
+			again.Store(true)
+			cancel()
+		case <-call.Done():
+		}
+	}()
 	page, err := f.Watch(call, f.mirror.Revision(), wait)
+	if again.Load() {
+		return f.list(ctx)
+	}
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Info("history of the store is gone, reading it anew", "revision", f.mirror.Revision())
 		return f.list(ctx)
 	}
 	if err != nil {
-		return err
+		return errors.Join(err, context.Cause(call))
 	}
 	f.mirror.Apply(page.Records, page.Revision)
 	if len(page.Records) > 0 {
@@ -134,6 +154,7 @@
 	var records []Record
 	var revision uint64
 	after := ""
+	begin := time.Since(f.epoch)
 	for {
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		page, err := f.List(call, after)
@@ -151,6 +172,7 @@
 		after = page.Records[len(page.Records)-1].Key
 	}
 	f.mirror.Reset(records, revision)
+	f.listed.Store(int64(begin))
 	return nil
 }
 
@@ -174,6 +196,19 @@
 	}
 }
 
+// Relist makes the follower read the store as a whole, if it reads it at all.
+func (f *Follower) Relist() {
+	select {
+	case f.relist <- struct{}{}:
+	default:
+	}
+}
+
+// Listed returns how long ago the last whole reading of the store began.
+func (f *Follower) Listed() time.Duration {
+	return time.Since(f.epoch) - time.Duration(f.listed.Load())
+}
+
 // Troubled returns how long ago a call to the store last failed.
 func (f *Follower) Troubled() time.Duration {
 	return time.Since(f.epoch) - time.Duration(f.trouble.Load())
--- a/lentilward/mirror/mirror_test.go
+++ b/lentilward/mirror/mirror_test.go
@@ -270,3 +270,24 @@
 		}
 	})
 }
+
+// A reading that was asked for does not wait for the end of a watch.
+func TestRelistInterruptsAWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{records: make(map[string]Record)}
+		s.write("a", false)
+		f := newTestFollower(s)
+		f.Watch = func(ctx context.Context, _ uint64, _ time.Duration) (*Page, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		follow(t, f)
+		time.Sleep(time.Second)
+		s.write("b", false)
+		f.Relist()
+		time.Sleep(100 * time.Millisecond)
+		if got := f.mirror.List(""); len(got) != 2 || f.Listed() > 200*time.Millisecond {
+			t.Fatalf("mirror has %v, listed %v ago", got, f.Listed())
+		}
+	})
+}
--- a/lentilward/scatter/delegate.go
+++ b/lentilward/scatter/delegate.go
@@ -33,7 +33,7 @@
 // that is near one. Their records cross once, merged.
 func (r *run) delegate(now time.Time) {
 	route := r.task.Route
-	if len(route.Shards) < leastDelegated || route.MaxAttempts < 2 || !r.engine.policy.Hedge {
+	if len(route.Shards) < leastDelegated || route.MaxAttempts < 2 || !r.policy.Hedge {
 		return
 	}
 	far := make(map[int][]string)
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"lentilward.org/lentilward/balance"
@@ -27,7 +28,7 @@
 
 // Engine runs requests.
 type Engine struct {
-	policy Policy
+	policy atomic.Pointer[Policy]
 	codec  conn.Codec
 	// Share returns this instance's share of an allowance that all instances
 	// have together.
@@ -42,13 +43,18 @@
 }
 
 // New returns an engine.
-func New(policy Policy, codec conn.Codec) *Engine {
-	return &Engine{
-		policy: policy, codec: codec, Share: func() float64 { return 1 },
+func New(codec conn.Codec) *Engine {
+	e := &Engine{
+		codec: codec, Share: func() float64 { return 1 },
 		Helper: func(map[string]int) (netip.AddrPort, string, bool) { return netip.AddrPort{}, "", false },
 	}
+	e.SetPolicy(Policy{})
+	return e
 }
 
+// SetPolicy replaces the policy of the requests to come.
+func (e *Engine) SetPolicy(p Policy) { e.policy.Store(&p) }
+
 // Task is one request with all that was pinned when it was admitted.
 type Task struct {
 	Request *domain.Request
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -21,6 +21,7 @@
 // run is the state of one request. One goroutine owns it; calls report to it.
 type run struct {
 	engine *Engine
+	policy *Policy
 	task   Task
 	// end is when the request is given up, answerBy when an answer with most
 	// parts is better than a later one.
@@ -71,14 +72,14 @@
 
 func newRun(ctx context.Context, e *Engine, t Task) *run {
 	r := &run{
-		engine: e, task: t, end: t.end().Add(-endMargin),
+		engine: e, policy: e.policy.Load(), task: t, end: t.end().Add(-endMargin),
 		parts: make([]part, len(t.Services)), open: len(t.Services),
 		events: make(chan event, len(t.Services)*maxCalls), room: make(chan int, len(t.Services)),
 	}
 	r.dials, r.stop = context.WithCancel(context.WithoutCancel(ctx))
 	r.answerBy = r.end
-	if e.policy.EarlyAnswer && len(t.Route.Shards) > 0 && t.Route.Objective > 0 {
-		by := t.Begin.Add(max(t.Route.Objective-e.policy.AnswerMargin, t.Route.Objective/2))
+	if r.policy.EarlyAnswer && len(t.Route.Shards) > 0 && t.Route.Objective > 0 {
+		by := t.Begin.Add(max(t.Route.Objective-r.policy.AnswerMargin, t.Route.Objective/2))
 		if by.Before(r.end) {
 			r.answerBy = by
 		}
@@ -177,7 +178,7 @@
 		return
 	}
 	hedge := len(p.calls) > 0 || p.helped
-	if hedge && (!r.engine.policy.Hedge || !r.task.Route.Idempotent) {
+	if hedge && (!r.policy.Hedge || !r.task.Route.Idempotent) {
 		return
 	}
 	repeat := p.started > 0
--- a/lentilward/wire.go
+++ b/lentilward/wire.go
@@ -31,7 +31,8 @@
 // provide registers how each component is made. Life ends with the process.
 func provide(i do.Injector, life context.Context) {
 	do.Provide(i, func(i do.Injector) (*slog.Logger, error) {
-		return newLog(do.MustInvoke[*Options](i), os.Stderr), nil
+		o := do.MustInvoke[*Options](i)
+		return newLog(o, os.Stderr, logLevels[o.Log.Level]), nil
 	})
 	do.Provide(i, func(i do.Injector) (*blackboard.Board, error) {
 		o := do.MustInvoke[*Options](i)
