Probe lost backend servers by a connection, not by a request

Cause: a server out of reach was tried again by a live request each second, which then waited; a silent one was tried by all once its calls had ended. Vanished records were believed at once, though a lost answer of the store makes a server that lives lose its record. Change: a server that could not be reached, or that answered nothing since a silent call began, gets calls again once a probe has connected; a record that ends without a word is believed after 0.55 of the drain bound; records of a reading are applied before it confirms a lapse.

--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -58,11 +59,19 @@
 	slowness float64
 	// failing is the mean share of calls that failed.
 	failing float64
-	// failures counts the calls in a row that did not reach the server.
-	failures     int
-	blockedUntil time.Time
-	fullUntil    time.Time
-	lastSample   time.Time
+	// failures counts the calls and probes in a row that did not reach the
+	// server. It gets no call until a probe did.
+	failures int
+	probing  bool
+	// probeAt is when to probe the server, blockedUntil until when it gets no
+	// call in any case.
+	probeAt, blockedUntil time.Time
+	// lastReply is when the server last answered anything.
+	lastReply time.Time
+	// reached is called once a server that was out of reach can be reached.
+	reached    func()
+	fullUntil  time.Time
+	lastSample time.Time
 }
 
 // NewServer returns a server of which nothing is known yet.
@@ -97,7 +106,7 @@
 	s.mu.Lock()
 	s.forget(now)
 	slowness, failing := s.slowness, s.failing
-	blocked, full := now.Before(s.blockedUntil), now.Before(s.fullUntil)
+	blocked, full := s.isBlocked(now), now.Before(s.fullUntil)
 	s.mu.Unlock()
 	if blocked {
 		return 0, false
@@ -132,25 +141,62 @@
 }
 
 // acquire takes a place for one call.
-func (s *Server) acquire(now time.Time) bool {
+func (s *Server) acquire() bool {
 	for {
 		n := s.inFlight.Load()
 		if n >= s.Pool.Limit.Load() || s.out.Load() {
 			return false
 		}
 		if s.inFlight.CompareAndSwap(n, n+1) {
-			break
+			return true
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.failures > 0 {
-		// One call finds out whether the server is back; others keep away.
-		s.blockedUntil = now.Add(s.pause())
+}
+
+// isBlocked tells whether the server gets no calls, and probes it if it is
+// time. The caller holds mu.
+func (s *Server) isBlocked(now time.Time) bool {
+	if now.Before(s.blockedUntil) {
+		return true
+	}
+	if s.failures == 0 {
+		return false
+	}
+	if !s.probing && !now.Before(s.probeAt) {
+		s.probing = true
+		go s.probe()
 	}
 	return true
 }
 
+// probe finds out whether the server can be reached again, so that no request
+// has to.
+func (s *Server) probe() {
+	err := s.Pool.Probe(context.Background())
+	now := time.Now()
+	s.mu.Lock()
+	s.probing = false
+	if err != nil {
+		s.failures++
+		s.probeAt = now.Add(s.pause())
+		s.mu.Unlock()
+		return
+	}
+	s.failures = 0
+	reached := s.reached
+	s.mu.Unlock()
+	if reached != nil {
+		reached()
+	}
+}
+
+// onReached sets what is called once the server can be reached again.
+func (s *Server) onReached(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reached = f
+}
+
 // pause is how long a server that could not be reached is left alone. The
 // caller holds mu.
 func (s *Server) pause() time.Duration {
@@ -161,7 +207,7 @@
 func (s *Server) Replied(slowness float64, failed bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failures, s.blockedUntil = 0, time.Time{}
+	s.failures, s.lastReply = 0, now
 	s.slowness += (slowness - s.slowness) / sampleWeight
 	s.sample(failed, now)
 }
@@ -195,14 +241,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failures++
-	s.blockedUntil = now.Add(s.pause())
+	s.probeAt = now.Add(s.pause())
+}
+
+// Silent notes a call that began some time ago and got no reply. If the server
+// has answered nothing since, it counts as out of reach.
+func (s *Server) Silent(begin, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sample(true, now)
+	if s.lastReply.Before(begin) {
+		s.failures++
+		s.probeAt = now.Add(s.pause())
+	}
 }
 
 // Elsewhere notes that another server answered at the address.
 func (s *Server) Elsewhere(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failures++
 	s.blockedUntil = now.Add(elsewhereBlock)
 }
 
@@ -223,5 +280,5 @@
 func (s *Server) blocked(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.blockedUntil)
+	return s.isBlocked(now)
 }
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -27,6 +27,9 @@
 
 // SetServers replaces the servers and wakes those that wait for one.
 func (s *Service) SetServers(servers []*Server) {
+	for _, x := range servers {
+		x.onReached(s.wake)
+	}
 	s.servers.Store(&servers)
 	s.mu.Lock()
 	waiting := len(s.waiters)
@@ -74,7 +77,7 @@
 		if best == nil {
 			return nil
 		}
-		if best.acquire(now) {
+		if best.acquire() {
 			return best
 		}
 	}
@@ -109,7 +112,7 @@
 			continue
 		}
 		x.mu.Lock()
-		least = min(least, max(leastBlock, x.blockedUntil.Sub(now)))
+		least = min(least, max(leastBlock, x.blockedUntil.Sub(now), x.probeAt.Sub(now)))
 		x.mu.Unlock()
 	}
 	return least
--- a/lentilward/conn/pool.go
+++ b/lentilward/conn/pool.go
@@ -156,6 +156,19 @@
 	}
 }
 
+// Probe opens a connection, also above the limit, and keeps it if it can.
+func (p *Pool) Probe(ctx context.Context) error {
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+	c, err := p.connect(ctx)
+	if err != nil {
+		return err
+	}
+	c.Release()
+	return nil
+}
+
 // Trim closes the idle connections whose time has passed and those above the
 // limit.
 func (p *Pool) Trim(now time.Time) {
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -21,6 +21,12 @@
 	// maintenancePeriod is the time between two looks at limits and idle
 	// connections.
 	maintenancePeriod = time.Second
+	// vanishPart is the part of the time in which a leaving server must get no new
+	// work, for which a server whose record has ended is believed to be there: it
+	// may be back with its next sign of life.
+	vanishPart = 0.55
+	// defaultDrain is that time if the settings do not have it.
+	defaultDrain = 3 * time.Second
 	// lapseWait is how long a server whose record ended with a lapse of the store
 	// is believed to be there: it comes back within two seconds if it lives.
 	lapseWait = 2200 * time.Millisecond
@@ -75,6 +81,7 @@
 	NewServer func(domain.BackendServer) *balance.Server
 
 	records   Records
+	drain     atomic.Int64
 	allowance atomic.Pointer[balance.Allowance]
 	log       *slog.Logger
 	news      chan struct{}
@@ -86,6 +93,9 @@
 	servers       map[string]*tracked
 	services      map[string]*balance.Service
 	routes        map[string]*balance.Route
+	// readAt is when the last whole reading of the store began whose records were
+	// applied.
+	readAt time.Time
 	// recheckAt is when to look again at servers that may have lapsed; zero if
 	// there are none.
 	recheckAt time.Time
@@ -111,9 +121,18 @@
 		services: make(map[string]*balance.Service), routes: make(map[string]*balance.Route),
 	}
 	d.allowance.Store(&balance.Allowance{})
+	d.SetDrain(0)
 	return d
 }
 
+// SetDrain replaces the time after which a leaving server must get no new work.
+func (d *Directory) SetDrain(t time.Duration) {
+	if t <= 0 {
+		t = defaultDrain
+	}
+	d.drain.Store(int64(t))
+}
+
 // SetAllowance replaces the allowance of repeats of all services.
 func (d *Directory) SetAllowance(a balance.Allowance) { d.allowance.Store(&a) }
 
@@ -149,13 +168,9 @@
 		case <-ctx.Done():
 			return
 		case <-d.news:
-			d.mu.Lock()
-			records := d.pending
-			d.pending = nil
-			d.mu.Unlock()
-			d.takeIn(ctx, records, time.Now())
+			d.takeInPending(ctx)
 		case <-lapse.C:
-			d.rebuild(time.Now())
+			d.takeInPending(ctx)
 		case <-tick.C:
 			d.maintain(time.Now())
 		}
@@ -165,6 +180,18 @@
 	}
 }
 
+// takeInPending applies the records that came meanwhile. What a reading of the
+// store has shown counts only for records that were applied after it.
+func (d *Directory) takeInPending(ctx context.Context) {
+	now := time.Now()
+	d.readAt = now.Add(-d.Listed())
+	d.mu.Lock()
+	records := d.pending
+	d.pending = nil
+	d.mu.Unlock()
+	d.takeIn(ctx, records, now)
+}
+
 // takeIn applies records and writes a new snapshot.
 func (d *Directory) takeIn(ctx context.Context, records []mirror.Record, now time.Time) {
 	var ended []*tracked
@@ -272,8 +299,11 @@
 		}
 		t.goneAt = now
 		t.lapsed = lapsed && !t.Leaving
-		if t.lapsed {
+		switch {
+		case t.lapsed:
 			t.goneAt = now.Add(lapseWait)
+		case !t.Leaving:
+			t.goneAt = now.Add(time.Duration(vanishPart * float64(d.drain.Load())))
 		}
 		if lapsed {
 			d.log.Info("record of a backend server has ended, perhaps by a lapse", "id", t.ID, "service", t.Service)
@@ -284,7 +314,7 @@
 // confirmed tells whether a record that ended with a lapse is known to be
 // missing still. While the store cannot be read the server's own answers decide.
 func (d *Directory) confirmed(t *tracked, now time.Time) bool {
-	if !t.lapsed || now.Add(-d.Listed()).After(t.goneAt) {
+	if !t.lapsed || d.readAt.After(t.goneAt) {
 		return true
 	}
 	if !d.Reading() {
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -88,6 +88,7 @@
 	if o.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(o.Memory) * memoryPart * (1 << 20)))
 	}
+	g.directory.SetDrain(time.Duration(o.Drain))
 	g.directory.SetAllowance(balance.Allowance{
 		Ratio: o.Repeats.Ratio, Slack: o.Repeats.Slack, Window: time.Duration(o.Repeats.Window),
 	})
--- a/lentilward/options.go
+++ b/lentilward/options.go
@@ -40,6 +40,8 @@
 		Slack  float64  `toml:"slack"`
 		Window duration `toml:"window"`
 	} `toml:"repeats"`
+	// Drain is the time after which a leaving backend server must get no new work.
+	Drain duration `toml:"drain"`
 	// Search says how a search ends in time.
 	Search struct {
 		Hedge        bool     `toml:"hedge"`
@@ -166,6 +168,9 @@
 	if o.Repeats.Ratio < 0 || o.Repeats.Slack < 0 || o.Repeats.Window <= 0 {
 		return &settingError{"repeats.window", "want ratio and slack of at least 0 and a window above 0"}
 	}
+	if o.Drain < 0 {
+		return &settingError{"drain", "must be at least 0"}
+	}
 	if o.Search.AnswerMargin < 0 {
 		return &settingError{"search.answer-margin", "must be at least 0"}
 	}
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -96,7 +96,7 @@
 	case errors.Is(err, conn.ErrFull), errors.Is(err, conn.ErrNotSent):
 	case errors.Is(err, conn.ErrSilent):
 		c.server.Pool.Silent(begin)
-		c.server.Broke(now)
+		c.server.Silent(begin, now)
 	case err != nil:
 		c.server.Broke(now)
 	case reply.Elsewhere:
