Meet seeds at once after a start, and be unready while cut off from the servers

Cause: after all power was lost the process that is no seed waited 1.5 s for peers that it had asked once, before they listened; an instance in a data centre that is cut off went on to be offered callers that it had to refuse. Ruled out: the store (it answered the others in 30 ms). Change: seeds are asked every 150 ms until records are there; readiness is given up while fewer than half of the routes that have servers can be served.

--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -64,7 +64,7 @@
 	readers = 4
 	// peersFirst is how long a process that has just started waits for peers
 	// before it reads the store.
-	peersFirst = 1500 * time.Millisecond
+	peersFirst = 800 * time.Millisecond
 	// staleAge is the age of the records from which on an instance reads the
 	// store itself, and currentAge that from which on it does not vouch for them.
 	staleAge   = 4 * time.Second
--- a/lentilward/directory/directory_test.go
+++ b/lentilward/directory/directory_test.go
@@ -1,10 +1,13 @@
 package directory
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -304,3 +307,25 @@
 		}
 	})
 }
+
+// An instance that is cut off from the servers of its routes is not able to
+// serve.
+func TestAble(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		if !b.d.Current.Load().Able(time.Now()) {
+			t.Fatal("not able, though no instance has a server")
+		}
+		b.put(server("i-1", nil))
+		s := b.d.Current.Load()
+		if !s.Able(time.Now()) {
+			t.Fatal("not able with a server")
+		}
+		x := s.Services["a"].Servers()[0]
+		x.Pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, errors.New("no route") }
+		x.Unreachable(time.Now())
+		if s.Able(time.Now()) {
+			t.Fatal("able without a server in reach")
+		}
+	})
+}
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -185,6 +185,7 @@
 	g.prober.PingVia = g.links.PingVia
 	g.prober.Seeds = func(context.Context) []netip.AddrPort { return g.seeds() }
 	g.prober.Newer = g.fetch
+	g.prober.Eager = func() bool { return g.mirror.Revision() == 0 }
 	g.prober.Current = g.follower.Told
 	g.peers.Ping = func(ctx context.Context, gossip member.Gossip) member.Gossip {
 		g.prober.Heard(context.WithoutCancel(ctx), gossip)
@@ -386,6 +387,11 @@
 	}
 	if phase := g.board.Own.Load().Phase; phase != blackboard.Serving {
 		http.Error(w, phase.String(), http.StatusServiceUnavailable)
+		return
+	}
+	if s := g.directory.Current.Load(); s != nil && !s.Able(time.Now()) {
+		g.log.Warn("not ready: too few backend servers can be reached")
+		http.Error(w, "too few backend servers can be reached", http.StatusServiceUnavailable)
 	}
 }
 
--- a/lentilward/member/prober.go
+++ b/lentilward/member/prober.go
@@ -22,8 +22,10 @@
 	helpers = 2
 	// nudged is the number of members told at once of a new configuration.
 	nudged = 3
-	// seedPeriod is the time between two looks at the list of instances.
-	seedPeriod = 10 * time.Second
+	// seedPeriod is the time between two looks at the list of instances, and
+	// eagerPeriod that while this instance needs a member.
+	seedPeriod  = 10 * time.Second
+	eagerPeriod = 150 * time.Millisecond
 )
 
 // Prober probes members in random order.
@@ -43,11 +45,13 @@
 	// Current is called when a member has none that is newer, and how long ago
 	// it was known to be the newest.
 	Current func(age time.Duration)
+	// Eager tells whether this instance cannot do without a member.
+	Eager func() bool
 }
 
 // NewProber returns a prober; Run starts it once its fields are set.
 func NewProber(board *blackboard.Board, table *Table) *Prober {
-	return &Prober{board: board, table: table, nudge: make(chan struct{}, 1), Current: func(time.Duration) {}}
+	return &Prober{board: board, table: table, nudge: make(chan struct{}, 1), Current: func(time.Duration) {}, Eager: func() bool { return false }}
 }
 
 // Nudge makes the prober tell a few members of a new configuration at once.
@@ -62,9 +66,8 @@
 func (p *Prober) Run(ctx context.Context) {
 	tick := time.NewTicker(probePeriod)
 	defer tick.Stop()
-	seed := time.NewTicker(seedPeriod)
+	seed := time.NewTimer(0)
 	defer seed.Stop()
-	p.contactSeeds(ctx)
 	var order []blackboard.Member
 	for {
 		select {
@@ -85,6 +88,10 @@
 			}
 		case <-seed.C:
 			go p.contactSeeds(ctx)
+			seed.Reset(seedPeriod)
+			if p.Eager() {
+				seed.Reset(eagerPeriod)
+			}
 		}
 	}
 }
