Send nothing once the time of a request is over

Change: a request whose time is over is refused before any call, a peer does not gather without time, the margin of the answer is at most a quarter of the time, and a header of 0 ms is a time that is over. The test fails without it.

--- a/lentilward/scatter/conclude.go
+++ b/lentilward/scatter/conclude.go
@@ -16,8 +16,12 @@
 	return r.task.Route.LeastParts()
 }
 
-// foresee refuses a request at once if too few of its services can be reached.
+// foresee refuses a request at once if its time is over, or if too few of its
+// services can be reached.
 func (r *run) foresee(now time.Time) *domain.Refusal {
+	if !now.Before(r.end) {
+		return &domain.Refusal{Reason: domain.TimedOut, Outcome: domain.NotRun, Message: "time is over"}
+	}
 	reachable := 0
 	retryAfter := time.Duration(0)
 	for i := range r.parts {
--- a/lentilward/scatter/delegate_test.go
+++ b/lentilward/scatter/delegate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 	"time"
 
 	"lentilward.org/lentilward/balance"
+	"lentilward.org/schema/domain"
 )
 
 // farShards returns n shards whose servers are all in another data centre, each
@@ -184,3 +186,38 @@
 		}
 	})
 }
+
+// A request whose time is over goes nowhere, neither directly nor by a peer.
+// (Aarwang, trouble-3, seed 949575651291: a caller that waited for 1 ms.)
+func TestNoCallOnceTheTimeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		count := func(kind string) func(i int) *fakeServer {
+			return func(i int) *fakeServer {
+				return &fakeServer{name: fmt.Sprint(kind, i), answer: func(r *http.Request) (time.Duration, string) {
+					calls++
+					return 0, reply(r, "x", "")
+				}}
+			}
+		}
+		services := farShards(t, 5, count("a"), count("b"))
+		e := helped(services, false, nil)
+		task := newTask(searchRoute(5, 1), services...)
+		task.Request.TimeLeft = time.Millisecond
+		time.Sleep(2 * time.Millisecond)
+		if _, _, refusal := e.Run(t.Context(), task); refusal == nil || refusal.Outcome != domain.NotRun {
+			t.Fatalf("refusal %+v", refusal)
+		}
+		for _, left := range []time.Duration{0, -time.Millisecond} {
+			g := Gather{Request: task.Request, Results: 5, HedgeAfter: time.Millisecond, TimeLeft: left}
+			for _, s := range services {
+				g.Services = append(g.Services, s.Name)
+			}
+			newTestEngine(testPolicy).Gather(t.Context(), g, &balance.Route{}, services, func(Partial) {})
+		}
+		settle()
+		if calls != 0 {
+			t.Fatalf("%d calls", calls)
+		}
+	})
+}
--- a/lentilward/scatter/gather.go
+++ b/lentilward/scatter/gather.go
@@ -41,12 +41,16 @@
 // Gather runs part of a search for a peer and emits what comes: one merged
 // answer once the asker would hedge, then each part by itself.
 func (e *Engine) Gather(ctx context.Context, g Gather, state *balance.Route, services []*balance.Service, emit func(Partial)) {
+	if g.TimeLeft <= 0 {
+		return
+	}
 	begin := time.Now()
 	route := &domain.Route{
 		Name: g.Route, Idempotent: true, MaxAttempts: 1, Rank: g.Rank, Results: g.Results, Shards: g.Services,
 	}
-	g.Request.TimeLeft = g.TimeLeft
-	r := newRun(ctx, e, Task{Request: g.Request, Route: route, State: state, Services: services, Begin: begin})
+	request := *g.Request
+	request.TimeLeft = g.TimeLeft
+	r := newRun(ctx, e, Task{Request: &request, Route: route, State: state, Services: services, Begin: begin})
 	defer r.finish()
 	r.gather(ctx, begin.Add(g.HedgeAfter), emit)
 }
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -14,8 +14,10 @@
 	// maxCalls bounds the calls for one part, refused ones included.
 	maxCalls = 6
 	// endMargin is how long before the end a request is given up, so that the
-	// caller still gets the answer.
+	// caller still gets the answer; endShare bounds it for short times, as the
+	// inverse of a share.
 	endMargin = 15 * time.Millisecond
+	endShare  = 4
 )
 
 // run is the state of one request. One goroutine owns it; calls report to it.
@@ -71,8 +73,9 @@
 }
 
 func newRun(ctx context.Context, e *Engine, t Task) *run {
+	end := t.end()
 	r := &run{
-		engine: e, policy: e.policy.Load(), task: t, end: t.end().Add(-endMargin),
+		engine: e, policy: e.policy.Load(), task: t, end: end.Add(-min(endMargin, end.Sub(t.Begin)/endShare)),
 		parts: make([]part, len(t.Services)), open: len(t.Services),
 		events: make(chan event, len(t.Services)*maxCalls), room: make(chan int, len(t.Services)),
 	}
