Refuse requests that take backend servers with them, on the platform too

Change: a request that fails and loses servers is told to all peers by method, host, target and body; once it has come twice and taken three servers it is refused, with an answer that promises nothing. One that was in flight beside it may come again once. Ruled out: a canary for unseen requests, since every query would wait for it.

--- a/lentilward/blackboard/suspects.go
+++ b/lentilward/blackboard/suspects.go
@@ -6,8 +6,10 @@
 type Suspect struct {
 	Fingerprint uint64 `cbor:"fingerprint"`
 	// Crashes is the number of servers lost with it.
-	Crashes uint32    `cbor:"crashes"`
-	Seen    time.Time `cbor:"seen"`
+	Crashes uint32 `cbor:"crashes"`
+	// Requests is the number of requests that lost them.
+	Requests uint32    `cbor:"requests"`
+	Seen     time.Time `cbor:"seen"`
 }
 
 // Suspects are the queries to refuse or to run with care. It is immutable.
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -26,6 +26,7 @@
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/peer"
 	"lentilward.org/lentilward/scatter"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/lentilward/web"
 	"lentilward.org/platform"
 	"lentilward.org/schema/domain"
@@ -57,6 +58,7 @@
 	prober    *member.Prober
 	links     *peer.Links
 	peers     *peer.Server
+	suspects  *suspect.List
 	callers   *web.Server
 	engine    *scatter.Engine
 	metrics   *monitor.Metrics
@@ -195,7 +197,11 @@
 		_, err := g.links.Ping(ctx, target, g.table.Gossip())
 		return err
 	}
-	g.peers.Suspects = func([]blackboard.Suspect) {}
+	g.suspects = suspect.New(g.board)
+	g.suspects.Tell = func(ctx context.Context, s []blackboard.Suspect) {
+		go g.links.TellSuspects(context.WithoutCancel(ctx), g.others(), s)
+	}
+	g.peers.Suspects = g.suspects.Merge
 	g.peers.Records = func(since uint64) mirror.Delta {
 		delta := g.mirror.Since(since)
 		delta.Age = g.follower.Age()
@@ -219,6 +225,14 @@
 	return seeds
 }
 
+// others are the members that take work.
+func (g *Gateway) others() []blackboard.Member {
+	members := g.board.Members.Load()
+	return lo.Filter(members.List, func(m blackboard.Member, _ int) bool {
+		return m.Name != members.Self && m.State == blackboard.Alive
+	})
+}
+
 // fetch asks a peer for newer records.
 func (g *Gateway) fetch(ctx context.Context, address netip.AddrPort) {
 	if !g.fetching.CompareAndSwap(false, true) {
@@ -268,20 +282,20 @@
 		DecodeRequest: platform.DecodeRequest, EncodeAnswer: platform.EncodeAnswer,
 		EncodeRefusal: platform.EncodeRefusal,
 	}, g.directory, g.engine, g.log)
+	g.callers.Harmful = func(r *domain.Request) bool { return g.suspects.Harmful(suspect.RequestFingerprint(r)) }
+	g.callers.Lost = func(r *domain.Request, servers int) {
+		g.log.Warn("backend servers were lost with a request", "request-id", r.ID, "servers", servers)
+		g.suspects.Crashed(context.Background(), suspect.RequestFingerprint(r), uint32(servers))
+	}
 	g.callers.Current = func() bool { return g.follower.Age() < currentAge }
 }
 
 // helper picks a member in one of the data centres that have most parts.
 func (g *Gateway) helper(parts map[string]int) (netip.AddrPort, string, bool) {
 	most := lo.Max(lo.Values(parts))
-	members := g.board.Members.Load()
-	var candidates []blackboard.Member
-	for _, m := range members.List {
-		near := parts[m.DataCentre]
-		if m.Name != members.Self && m.State == blackboard.Alive && float64(near) >= helperPart*float64(most) {
-			candidates = append(candidates, m)
-		}
-	}
+	candidates := lo.Filter(g.others(), func(m blackboard.Member, _ int) bool {
+		return float64(parts[m.DataCentre]) >= helperPart*float64(most)
+	})
 	if len(candidates) == 0 {
 		return netip.AddrPort{}, "", false
 	}
--- a/lentilward/scatter/delegate.go
+++ b/lentilward/scatter/delegate.go
@@ -101,6 +101,7 @@
 	if !r.valid(n.partial) {
 		return
 	}
+	r.stats.Lost += n.partial.Lost
 	g := &group{receipts: n.partial.Receipts, records: n.partial.Records}
 	fresh := 0
 	for _, k := range n.partial.Done {
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -69,6 +69,8 @@
 // Stats are what it took to answer a request.
 type Stats struct {
 	Calls, Hedges, Repeats, Missing int
+	// Lost is the number of calls whose connection ended without a reply.
+	Lost int
 	// Delegated is the number of parts that a peer gathered.
 	Delegated int
 	// Waited is the number of calls that had to wait for room.
--- a/lentilward/scatter/gather.go
+++ b/lentilward/scatter/gather.go
@@ -36,6 +36,8 @@
 	LateServers   []string
 	Failed        []int
 	FailedServers []string
+	// Lost is the number of calls whose connection ended without a reply.
+	Lost int
 }
 
 // Gather runs part of a search for a peer and emits what comes: one merged
@@ -127,6 +129,7 @@
 	if len(p.Done) > 0 {
 		p.Records = top.bytes()
 	}
+	p.Lost, r.stats.Lost = r.stats.Lost, 0
 	return p, len(p.Done)+len(p.Failed)+len(p.Late) > 0
 }
 
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"lentilward.org/lentilward/balance"
+	"lentilward.org/lentilward/conn"
 	"lentilward.org/schema/domain"
 )
 
@@ -272,6 +274,9 @@
 		if e.reply != nil {
 			p.failure = e.reply
 		}
+		if errors.Is(e.err, conn.ErrBroken) {
+			r.stats.Lost++
+		}
 		if !r.task.Route.Idempotent {
 			r.close(p)
 			return
--- a/lentilward/suspect/suspect.go
+++ b/lentilward/suspect/suspect.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/schema/domain"
 )
 
 const (
@@ -44,7 +45,8 @@
 // returns.
 func (s *List) Crashed(ctx context.Context, fingerprint uint64, servers uint32) {
 	x := blackboard.Suspect{Fingerprint: fingerprint, Seen: time.Now()}
-	x.Crashes = s.board.Suspects.Load().Crashes(fingerprint) + servers
+	known := s.board.Suspects.Load().ByFingerprint[fingerprint]
+	x.Crashes, x.Requests = known.Crashes+servers, known.Requests+1
 	s.Merge([]blackboard.Suspect{x})
 	s.Tell(ctx, []blackboard.Suspect{x})
 }
@@ -60,10 +62,13 @@
 	}
 	maps.DeleteFunc(next, func(_ uint64, x blackboard.Suspect) bool { return time.Since(x.Seen) > suspectLife })
 	for _, x := range suspects {
-		if x.Crashes > next[x.Fingerprint].Crashes && len(next) < maxSuspects {
-			x.Seen = time.Now()
-			next[x.Fingerprint] = x
+		known, found := next[x.Fingerprint]
+		if !found && len(next) >= maxSuspects {
+			continue
 		}
+		known.Fingerprint, known.Seen = x.Fingerprint, time.Now()
+		known.Crashes, known.Requests = max(known.Crashes, x.Crashes), max(known.Requests, x.Requests)
+		next[x.Fingerprint] = known
 	}
 	s.board.Suspects.Store(&blackboard.Suspects{ByFingerprint: next})
 }
@@ -83,6 +88,32 @@
 	s.slots[shape%shapeSlots].Store(shape)
 }
 
+// leastCrashes and leastRequests are the servers that a request has lost, and
+// the times that it came, before it is refused: one that was in flight beside
+// the harmful one is sent again once.
+const (
+	leastCrashes  = 3
+	leastRequests = 2
+)
+
+// Harmful tells whether a request that came before is known to take servers
+// with it.
+func (s *List) Harmful(fingerprint uint64) bool {
+	x := s.board.Suspects.Load().ByFingerprint[fingerprint]
+	return x.Crashes >= leastCrashes && x.Requests >= leastRequests
+}
+
+// RequestFingerprint names a request by all that a server sees of it.
+func RequestFingerprint(r *domain.Request) uint64 {
+	h := xxhash.New()
+	for _, text := range []string{r.Method, r.Host, r.Target} {
+		h.WriteString(text)
+		h.WriteString("\x00")
+	}
+	h.Write(r.Body)
+	return h.Sum64()
+}
+
 // Fingerprint names one exact query.
 func Fingerprint(query string) uint64 {
 	return xxhash.Sum64String(query)
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -50,6 +50,10 @@
 	// Current tells whether the configuration in force is known to be the
 	// newest.
 	Current func() bool
+	// Harmful tells whether a request is known to take backend servers with it,
+	// and Lost notes that it lost some and failed.
+	Harmful func(*domain.Request) bool
+	Lost    func(r *domain.Request, servers int)
 	// Observe is told of each request that has ended.
 	Observe func(End)
 }
@@ -67,6 +71,7 @@
 	return &Server{
 		format: format, directory: d, engine: e, log: log,
 		Current: func() bool { return true }, Observe: func(End) {},
+		Harmful: func(*domain.Request) bool { return false }, Lost: func(*domain.Request, int) {},
 	}
 }
 
@@ -139,7 +144,16 @@
 	if refusal != nil {
 		return nil, End{Took: time.Since(begin), Refusal: refusal}
 	}
+	if s.Harmful(request) {
+		return nil, End{Route: task.Route.Name, Took: time.Since(begin), Refusal: &domain.Refusal{
+			Reason: domain.Harmful, Outcome: domain.Unknown,
+			Message: "backend servers went away while they ran this request before",
+		}}
+	}
 	answer, stats, refusal := s.engine.Run(r.Context(), *task)
+	if refusal != nil && stats.Lost > 0 {
+		s.Lost(request, stats.Lost)
+	}
 	return answer, End{Route: task.Route.Name, Took: time.Since(begin), Stats: stats, Refusal: refusal}
 }
 
--- a/lentilward/web/server_test.go
+++ b/lentilward/web/server_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -131,3 +132,23 @@
 	c.Close()
 	<-cut
 }
+
+// A request that loses backend servers each time is refused once it is known
+// to, and the answer promises nothing.
+func TestHarmfulRequestIsRefused(t *testing.T) {
+	var runs, lost atomic.Int32
+	s, near := newBed(t, func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	s.Lost = func(_ *domain.Request, servers int) { lost.Add(int32(servers)) }
+	s.Harmful = func(*domain.Request) bool { return lost.Load() >= 3 }
+	for i := range 6 {
+		if got := ask(t, near, "GET", "/a/", fmt.Sprint(i), "").StatusCode; got != 502 {
+			t.Fatalf("status %d", got)
+		}
+	}
+	if runs.Load() != 3 || lost.Load() != 3 {
+		t.Fatalf("%d runs, %d servers lost", runs.Load(), lost.Load())
+	}
+}
