Give requests, replies and refusals types of our own

Cause: protobuf messages ran through caller, backend and fleet, so that no other protocol could share the middle. Change: package domain has the types; callerrpc and backendrpc are the thin gRPC edges; caller, backend, queue, fleet and monitor import no protobuf package. Refusals of both faces are one type. Ruled out: a second copy of the reasons for the platform.

--- a/lentilward/backend/attempt.go
+++ b/lentilward/backend/attempt.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
-	"lentilward.org/schema/backendpb"
+	"lentilward.org/schema/domain"
 )
 
 // coldTimeout bounds a call to a cold server. Such a call is not cancelled
@@ -16,7 +16,7 @@
 // outcome is the end of one attempt.
 type outcome struct {
 	server *blackboard.Server
-	reply  *backendpb.SearchReply
+	reply  *domain.ShardReply
 	err    error
 }
 
@@ -40,10 +40,10 @@
 }
 
 // call makes one call and checks that the reply is the one asked for.
-func (r *Runner) call(ctx context.Context, q *Request, t Task, s *blackboard.Server, number uint32) (*backendpb.SearchReply, error) {
+func (r *Runner) call(ctx context.Context, q *Request, t Task, s *blackboard.Server, number uint32) (*domain.ShardReply, error) {
 	begin := time.Now()
-	reply, err := s.Client.Search(ctx, &backendpb.SearchRequest{
-		RequestId: q.ID, Attempt: number, Service: t.Routes.Service.Name,
+	reply, err := s.Client.Search(ctx, &domain.ShardCall{
+		RequestID: q.ID, Attempt: number, Service: t.Routes.Service.Name,
 		Version: t.Version.Version, Shard: t.Shard, Query: q.Query, Instance: r.instance,
 	})
 	now := time.Now()
@@ -51,7 +51,7 @@
 		return nil, r.fail(q, t, s, err, now.Sub(begin))
 	}
 	q.replied.Add(1)
-	s.SetBoot(reply.BootId)
+	s.SetBoot(reply.BootID)
 	if !matches(q, t, number, reply) {
 		return nil, ErrMismatch
 	}
@@ -65,13 +65,12 @@
 
 // fail notes what a failed call tells about the server.
 func (r *Runner) fail(q *Request, t Task, s *blackboard.Server, err error, elapsed time.Duration) error {
-	err, notRun := classify(err)
-	if notRun {
+	if notRun(err) {
 		q.refused.Add(1)
 		s.Refresh()
 		return err
 	}
-	if errors.Is(err, ErrLost) {
+	if errors.Is(err, domain.ErrLost) {
 		q.lost.Add(1)
 		return err
 	}
@@ -80,8 +79,8 @@
 }
 
 // matches checks that a reply names the request, attempt, version and shard.
-func matches(q *Request, t Task, number uint32, reply *backendpb.SearchReply) bool {
-	return reply.RequestId == q.ID &&
+func matches(q *Request, t Task, number uint32, reply *domain.ShardReply) bool {
+	return reply.RequestID == q.ID &&
 		reply.Attempt == number &&
 		reply.Service == t.Routes.Service.Name &&
 		reply.Version == t.Version.Version &&
--- a/lentilward/backend/execute.go
+++ b/lentilward/backend/execute.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
-	"lentilward.org/schema/backendpb"
 )
 
 // leastTimeLeft is the least time to the deadline with which a non-idempotent
@@ -28,17 +27,13 @@
 			return nil, errors.Join(err, context.DeadlineExceeded)
 		}
 		q.attempts.Add(1)
-		reply, err := p.server.Client.Execute(ctx, &backendpb.ExecuteRequest{
-			RequestId: q.ID, Service: routes.Service.Name, Payload: payload, Instance: r.instance,
-		})
+		result, err := p.server.Client.Execute(ctx, q.ID, routes.Service.Name, r.instance, payload)
+		p.end(err)
 		if err == nil {
-			p.end(nil)
 			q.replied.Add(1)
-			return reply.Result, nil
+			return result, nil
 		}
-		err, notRun := classify(err)
-		p.end(err)
-		if !notRun {
+		if !notRun(err) {
 			return nil, err
 		}
 		q.refused.Add(1)
--- a/lentilward/backend/fake_test.go
+++ b/lentilward/backend/fake_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"lentilward.org/lentilward/backendrpc"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/schema/backendpb"
 )
@@ -122,7 +123,7 @@
 		c := &fakeClient{delay: 10 * time.Millisecond}
 		s := &blackboard.Server{
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i)),
-			Service: "s", Client: c, Refresh: func() {},
+			Service: "s", Client: backendrpc.New(c), Refresh: func() {},
 		}
 		s.SetBoot(1)
 		s.WarmBootID.Store(1)
--- a/lentilward/backend/place_test.go
+++ b/lentilward/backend/place_test.go
@@ -11,9 +11,10 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"lentilward.org/lentilward/backendrpc"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/schema/backendpb"
-	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/domain"
 )
 
 var errDeadline = context.DeadlineExceeded
@@ -30,7 +31,7 @@
 			other := newBench(ctx, 1)
 			other.cool(0, false)
 			other.clients[0] = owner.clients[0]
-			other.servers[0].Client = owner.clients[0]
+			other.servers[0].Client = backendrpc.New(owner.clients[0])
 			other.runner.Permit = func(ctx context.Context, _ *blackboard.Server, boot uint64, c blackboard.Class) (Permit, error) {
 				ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 				defer cancel()
@@ -105,14 +106,14 @@
 	for _, c := range []struct {
 		name    string
 		errs    [2]error
-		outcome callerpb.Outcome
+		outcome domain.Outcome
 		calls   int
 	}{
-		{"answered", [2]error{nil, nil}, callerpb.Outcome_OUTCOME_RAN, 1},
-		{"lost", [2]error{lost, lost}, callerpb.Outcome_OUTCOME_UNKNOWN, 1},
+		{"answered", [2]error{nil, nil}, domain.Ran, 1},
+		{"lost", [2]error{lost, lost}, domain.Unknown, 1},
 		{"refused by all", [2]error{
 			refused(backendpb.RefusalReason_REFUSAL_REASON_DRAINING), refused(backendpb.RefusalReason_REFUSAL_REASON_DRAINING),
-		}, callerpb.Outcome_OUTCOME_NOT_RUN, 2},
+		}, domain.NotRun, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withBench(t, 2, func(t *testing.T, b *bench) {
--- a/lentilward/backend/request.go
+++ b/lentilward/backend/request.go
@@ -7,8 +7,7 @@
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
-	"lentilward.org/schema/backendpb"
-	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/domain"
 )
 
 // Request is one caller's request with what its attempts have in common.
@@ -58,14 +57,14 @@
 }
 
 // Outcome tells what is certain about the calls sent so far.
-func (r *Request) Outcome() callerpb.Outcome {
+func (r *Request) Outcome() domain.Outcome {
 	switch {
 	case r.replied.Load() > 0:
-		return callerpb.Outcome_OUTCOME_RAN
+		return domain.Ran
 	case r.attempts.Load() > r.refused.Load():
-		return callerpb.Outcome_OUTCOME_UNKNOWN
+		return domain.Unknown
 	}
-	return callerpb.Outcome_OUTCOME_NOT_RUN
+	return domain.NotRun
 }
 
 // Task is one shard to search.
@@ -79,7 +78,7 @@
 // against the task.
 type Result struct {
 	Shard uint32
-	Reply *backendpb.SearchReply
+	Reply *domain.ShardReply
 	Err   error
 	// Waited is the time until the first call, Took that until the end.
 	Waited, Took time.Duration
--- a/lentilward/backend/runner.go
+++ b/lentilward/backend/runner.go
@@ -9,6 +9,7 @@
 
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/queue"
+	"lentilward.org/schema/domain"
 )
 
 const (
@@ -195,10 +196,10 @@
 // retry starts another call after all others have failed.
 func (s *shardRun) retry(ctx context.Context) error {
 	n := len(s.tried)
-	if n >= maxAttempts || errors.Is(s.lastErr, ErrLost) && !s.request.mayRepeatLost() {
+	if n >= maxAttempts || errors.Is(s.lastErr, domain.ErrLost) && !s.request.mayRepeatLost() {
 		return s.lastErr
 	}
-	if n > freeRetries && !errors.Is(s.lastErr, ErrRefused) && !s.task.Routes.State.Budget.Spend() {
+	if n > freeRetries && !errors.Is(s.lastErr, domain.ErrRefused) && !s.task.Routes.State.Budget.Spend() {
 		return s.lastErr
 	}
 	if err := s.attempt(ctx); err != nil {
--- a/lentilward/backend/runner_test.go
+++ b/lentilward/backend/runner_test.go
@@ -9,7 +9,7 @@
 
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/schema/backendpb"
-	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/domain"
 )
 
 // The outcome that a caller is told is true on every path.
@@ -20,22 +20,22 @@
 		name    string
 		prepare func(b *bench)
 		err     error
-		outcome callerpb.Outcome
+		outcome domain.Outcome
 		calls   int
 	}{
-		{"answered", func(*bench) {}, nil, callerpb.Outcome_OUTCOME_RAN, 1},
-		{"refused by all", func(b *bench) { b.clients[0].err, b.clients[1].err = full, full }, ErrRefused, callerpb.Outcome_OUTCOME_NOT_RUN, 2},
-		{"version gone", func(b *bench) { b.clients[0].err, b.clients[1].err = gone, gone }, ErrVersionGone, callerpb.Outcome_OUTCOME_NOT_RUN, 2},
-		{"lost by all", func(b *bench) { b.clients[0].err, b.clients[1].err = lost, lost }, ErrLost, callerpb.Outcome_OUTCOME_UNKNOWN, 2},
+		{"answered", func(*bench) {}, nil, domain.Ran, 1},
+		{"refused by all", func(b *bench) { b.clients[0].err, b.clients[1].err = full, full }, domain.ErrRefused, domain.NotRun, 2},
+		{"version gone", func(b *bench) { b.clients[0].err, b.clients[1].err = gone, gone }, domain.ErrVersionGone, domain.NotRun, 2},
+		{"lost by all", func(b *bench) { b.clients[0].err, b.clients[1].err = lost, lost }, domain.ErrLost, domain.Unknown, 2},
 		{"lost, then answered", func(b *bench) {
 			b.clients[0].err = lost
 			b.servers[1].Observe(time.Second, time.Now())
-		}, nil, callerpb.Outcome_OUTCOME_RAN, 2},
+		}, nil, domain.Ran, 2},
 		{"out of service", func(b *bench) {
 			b.servers[0].OutOfService.Store(true)
 			b.servers[1].OutOfService.Store(true)
-		}, errDeadline, callerpb.Outcome_OUTCOME_NOT_RUN, 0},
-		{"too slow", func(b *bench) { b.clients[0].delay, b.clients[1].delay = time.Minute, time.Minute }, errDeadline, callerpb.Outcome_OUTCOME_UNKNOWN, 1},
+		}, errDeadline, domain.NotRun, 0},
+		{"too slow", func(b *bench) { b.clients[0].delay, b.clients[1].delay = time.Minute, time.Minute }, errDeadline, domain.Unknown, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withBench(t, 2, func(t *testing.T, b *bench) {
@@ -166,8 +166,8 @@
 		b.clients[0].err = lost
 		b.servers[1].Observe(time.Second, time.Now())
 		b.servers[1].OutOfService.Store(true)
-		if r := b.run(request(time.Second)); !errors.Is(r.Err, ErrLost) {
-			t.Errorf("got %v, want ErrLost", r.Err)
+		if r := b.run(request(time.Second)); !errors.Is(r.Err, domain.ErrLost) {
+			t.Errorf("got %v, want domain.ErrLost", r.Err)
 		}
 		if b.clients[1].calls != 0 {
 			t.Error("a withdrawn server got a retry")
--- a/lentilward/blackboard/server.go
+++ b/lentilward/blackboard/server.go
@@ -1,20 +1,29 @@
 package blackboard
 
 import (
+	"context"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
-	"lentilward.org/schema/backendpb"
+	"lentilward.org/schema/domain"
 )
 
+// Client calls one backend server. Its errors are those of package domain, or of
+// package context.
+type Client struct {
+	Search  func(ctx context.Context, c *domain.ShardCall) (*domain.ShardReply, error)
+	Execute func(ctx context.Context, requestID, service, instance string, payload []byte) ([]byte, error)
+	Status  func(ctx context.Context) (*domain.ServerStatus, error)
+}
+
 // Server is the state of one backend server as this instance sees it. All
 // fields that change are atomic.
 type Server struct {
 	Address    netip.AddrPort
 	Service    string
 	DataCentre string
-	Client     backendpb.BackendClient
+	Client     Client
 	// Refresh asks for a new status of the server soon.
 	Refresh func()
 
--- a/lentilward/blackboard/state.go
+++ b/lentilward/blackboard/state.go
@@ -4,25 +4,22 @@
 	"math/bits"
 	"sync/atomic"
 	"time"
+
+	"lentilward.org/schema/domain"
 )
 
 // Class orders requests that compete.
-type Class uint8
+type Class = domain.Class
 
 // Classes, the most urgent first.
 const (
-	Urgent Class = iota
-	Interactive
-	Background
+	Urgent      = domain.Urgent
+	Interactive = domain.Interactive
+	Background  = domain.Background
 	// Classes is their number.
-	Classes
+	Classes = domain.Classes
 )
 
-// String returns the class in lower case.
-func (c Class) String() string {
-	return [...]string{"urgent", "interactive", "background"}[c]
-}
-
 // ServiceState is what an instance measures of one service.
 type ServiceState struct {
 	// Latencies are reply times of single attempts.
--- a/lentilward/caller/admission.go
+++ b/lentilward/caller/admission.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
-	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/domain"
 )
 
 const (
@@ -37,35 +37,35 @@
 
 // enter refuses a request that is malformed, in flight already or comes while
 // the instance does not serve. Leave must be called at the request's end.
-func (a *admission) enter(caller, id string) (leave func(), _ *refusal) {
+func (a *admission) enter(caller, id string) (leave func(), _ *domain.Refusal) {
 	if id == "" || len(id) > maxRequestID {
-		return nil, notRun(callerpb.Reason_REASON_INVALID, "request-id: want 1 to %d bytes", maxRequestID)
+		return nil, notRun(domain.Malformed, "request-id: want 1 to %d bytes", maxRequestID)
 	}
 	if caller == "" || len(caller) > maxCallerName {
-		return nil, notRun(callerpb.Reason_REASON_INVALID, "caller: want 1 to %d bytes", maxCallerName)
+		return nil, notRun(domain.Malformed, "caller: want 1 to %d bytes", maxCallerName)
 	}
 	switch a.board.Own.Load().Phase {
 	case blackboard.Starting:
-		return nil, notRun(callerpb.Reason_REASON_NOT_READY, "instance has no configuration yet")
+		return nil, notRun(domain.NoConfiguration, "instance has no configuration yet")
 	case blackboard.Stopping:
-		return nil, notRun(callerpb.Reason_REASON_STOPPING, "instance is stopping; use another one")
+		return nil, notRun(domain.Stopping, "instance is stopping; use another one")
 	}
 	key := requestKey{caller, id}
 	if _, exists := a.inFlight.LoadOrStore(key, true); exists {
-		return nil, notRun(callerpb.Reason_REASON_DUPLICATE, "request %q is in flight", id)
+		return nil, notRun(domain.Duplicate, "request %q is in flight", id)
 	}
 	return func() { a.inFlight.Delete(key) }, nil
 }
 
 // deadline returns when the answer is due, from the request or from the RPC.
-func deadline(ctx context.Context, ms int64, now time.Time) (time.Time, *refusal) {
+func deadline(ctx context.Context, left time.Duration, now time.Time) (time.Time, *domain.Refusal) {
 	due := now.Add(defaultTimeout)
 	rpc, bounded := ctx.Deadline()
 	switch {
-	case ms < 0 || bounded && !rpc.After(now):
-		return due, notRun(callerpb.Reason_REASON_DEADLINE, "deadline has passed")
-	case ms > 0:
-		due = now.Add(min(time.Duration(ms)*time.Millisecond, largestTimeout))
+	case left < 0 || bounded && !rpc.After(now):
+		return due, notRun(domain.TimedOut, "deadline has passed")
+	case left > 0:
+		due = now.Add(min(left, largestTimeout))
 	case bounded:
 		due = rpc
 	}
@@ -75,23 +75,10 @@
 	return due.Add(-answerMargin), nil
 }
 
-// class returns the class of a request.
-func class(c callerpb.Class) (blackboard.Class, *refusal) {
-	switch c {
-	case callerpb.Class_CLASS_UNSPECIFIED, callerpb.Class_CLASS_INTERACTIVE:
-		return blackboard.Interactive, nil
-	case callerpb.Class_CLASS_URGENT:
-		return blackboard.Urgent, nil
-	case callerpb.Class_CLASS_BACKGROUND:
-		return blackboard.Background, nil
-	}
-	return 0, notRun(callerpb.Reason_REASON_INVALID, "unknown class %d", c)
-}
-
 // selectServices returns the routes of the named services, each once.
-func selectServices(routes *blackboard.Routes, names []string) ([]*blackboard.ServiceRoutes, *refusal) {
+func selectServices(routes *blackboard.Routes, names []string) ([]*blackboard.ServiceRoutes, *domain.Refusal) {
 	if len(names) == 0 || len(names) > maxServices {
-		return nil, notRun(callerpb.Reason_REASON_INVALID, "services: want 1 to %d names", maxServices)
+		return nil, notRun(domain.Malformed, "services: want 1 to %d names", maxServices)
 	}
 	if slices.Contains(names, allServices) {
 		names = names[:0:0]
@@ -99,7 +86,7 @@
 			names = append(names, name)
 		}
 		if len(names) == 0 {
-			return nil, notRun(callerpb.Reason_REASON_UNKNOWN_SERVICE, "there are no services")
+			return nil, notRun(domain.NoRoute, "there are no services")
 		}
 	}
 	names = slices.Compact(slices.Sorted(slices.Values(names)))
@@ -107,7 +94,7 @@
 	for _, name := range names {
 		r := routes.Services[name]
 		if r == nil {
-			return nil, notRun(callerpb.Reason_REASON_UNKNOWN_SERVICE, "unknown service %q", name)
+			return nil, notRun(domain.NoRoute, "unknown service %q", name)
 		}
 		selected = append(selected, r)
 	}
@@ -129,7 +116,7 @@
 }
 
 // enter counts the shards of a request. Leave must be called at its end.
-func (c *capacity) enter(services []*blackboard.ServiceRoutes, class blackboard.Class) (leave func(), _ *refusal) {
+func (c *capacity) enter(services []*blackboard.ServiceRoutes, class blackboard.Class) (leave func(), _ *domain.Refusal) {
 	var shards, priority int64
 	for _, r := range services {
 		if r.Pin != nil {
@@ -144,14 +131,14 @@
 	most := c.most * (priorities + priority + 1) / (2 * priorities)
 	if c.shards.Add(shards) > most && shards > 0 {
 		c.shards.Add(-shards)
-		return nil, notRun(callerpb.Reason_REASON_OVERLOADED, "instance has too much work for priority %d", priority)
+		return nil, notRun(domain.Overloaded, "instance has too much work for priority %d", priority)
 	}
 	return func() { c.shards.Add(-shards) }, nil
 }
 
 // limit counts a request towards the limits of its services. Leave must be
 // called at the request's end.
-func limit(services []*blackboard.ServiceRoutes, caller string, class blackboard.Class) (leave func(), _ *refusal) {
+func limit(services []*blackboard.ServiceRoutes, caller string, class blackboard.Class) (leave func(), _ *domain.Refusal) {
 	var taken []func()
 	leave = func() {
 		for _, give := range taken {
@@ -167,7 +154,7 @@
 			taken = append(taken, func() { count.Add(-1) })
 			if count.Add(1) > int32(l.InFlight) {
 				leave()
-				return nil, notRun(callerpb.Reason_REASON_LIMITED, "service %q: limit of %d in flight reached", r.Service.Name, l.InFlight)
+				return nil, notRun(domain.Limited, "service %q: limit of %d in flight reached", r.Service.Name, l.InFlight)
 			}
 		}
 	}
--- a/lentilward/caller/bench_test.go
+++ b/lentilward/caller/bench_test.go
@@ -11,7 +11,9 @@
 	"google.golang.org/grpc"
 
 	"lentilward.org/lentilward/backend"
+	"lentilward.org/lentilward/backendrpc"
 	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/lentilward/callerrpc"
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/platform"
 	"lentilward.org/lentilward/suspect"
@@ -38,7 +40,8 @@
 		b.Run(fmt.Sprintf("shards-%d", shards), func(b *testing.B) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			s := benchServer(ctx, shards)
+			server := benchServer(ctx, shards)
+			s := callerrpc.New(server.Search, server.Execute)
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
@@ -69,7 +72,7 @@
 		for j := range 2 {
 			s := &blackboard.Server{
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(2*i+j+1)),
-				Service: "s", Client: instantServer{}, Refresh: func() {},
+				Service: "s", Client: backendrpc.New(instantServer{}), Refresh: func() {},
 			}
 			s.SetBoot(1)
 			s.WarmBootID.Store(1)
--- a/lentilward/caller/execute.go
+++ b/lentilward/caller/execute.go
@@ -7,36 +7,33 @@
 
 	"lentilward.org/lentilward/backend"
 	"lentilward.org/lentilward/platform"
-	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/domain"
 )
 
 // claimTimeout bounds the calls that settle a claim after the request.
 const claimTimeout = 2 * time.Second
 
-// Execute runs one non-idempotent request at most once.
-func (s *Server) Execute(ctx context.Context, r *callerpb.ExecuteRequest) (*callerpb.ExecuteReply, error) {
+// Execute runs one non-idempotent request at most once. Its errors are
+// refusals.
+func (s *Server) Execute(ctx context.Context, r *domain.ExecuteRequest) (*domain.ExecuteAnswer, error) {
 	begin := time.Now()
 	result, err := s.execute(ctx, r, begin)
 	if err != nil {
-		return nil, s.refuse(r.Caller, r.RequestId, r.Resent, err)
+		return nil, s.refuse(r.Caller, r.ID, r.Resent, err)
 	}
-	return &callerpb.ExecuteReply{RequestId: r.RequestId, Result: result, Instance: s.board.Own.Load().Name}, nil
+	return &domain.ExecuteAnswer{Result: result, Instance: s.board.Own.Load().Name}, nil
 }
 
-func (s *Server) execute(ctx context.Context, r *callerpb.ExecuteRequest, begin time.Time) ([]byte, error) {
-	leave, refused := s.admission.enter(r.Caller, r.RequestId)
+func (s *Server) execute(ctx context.Context, r *domain.ExecuteRequest, begin time.Time) ([]byte, error) {
+	leave, refused := s.admission.enter(r.Caller, r.ID)
 	if refused != nil {
 		return nil, refused
 	}
 	defer leave()
 	if len(r.Payload) > maxPayload {
-		return nil, notRun(callerpb.Reason_REASON_TOO_LARGE, "payload: at most %d bytes", maxPayload)
+		return nil, notRun(domain.TooLarge, "payload: at most %d bytes", maxPayload)
 	}
-	c, refused := class(r.Class)
-	if refused != nil {
-		return nil, refused
-	}
-	due, refused := deadline(ctx, r.DeadlineMs, begin)
+	due, refused := deadline(ctx, r.TimeLeft, begin)
 	if refused != nil {
 		return nil, refused
 	}
@@ -45,28 +42,28 @@
 		return nil, refused
 	}
 	if len(services) != 1 {
-		return nil, notRun(callerpb.Reason_REASON_INVALID, "service: want one name")
+		return nil, notRun(domain.Malformed, "service: want one name")
 	}
-	leaveLimits, refused := limit(services, r.Caller, c)
+	leaveLimits, refused := limit(services, r.Caller, r.Class)
 	if refused != nil {
 		return nil, refused
 	}
 	defer leaveLimits()
 	ctx, cancel := context.WithDeadline(ctx, due)
 	defer cancel()
-	claim, earlier, err := s.claims.Take(ctx, r.Caller, r.RequestId)
+	claim, earlier, err := s.claims.Take(ctx, r.Caller, r.ID)
 	if err != nil {
 		return claimed(earlier, err)
 	}
-	q := &backend.Request{ID: r.RequestId, Class: c, Deadline: due, Patient: true}
+	q := &backend.Request{ID: r.ID, Class: r.Class, Deadline: due, Patient: true}
 	result, err := s.runner.Execute(ctx, q, services[0], r.Payload, ctx.Err)
 	settle(claim, q.Outcome(), result)
 	if err != nil {
 		x := asRefusal(err)
-		x.outcome = q.Outcome()
+		x.Outcome = q.Outcome()
 		return nil, x
 	}
-	s.metrics.Answered(r.Caller, c, time.Since(begin), q.Attempts(), 0, 0)
+	s.metrics.Answered(r.Caller, r.Class, time.Since(begin), q.Attempts(), 0, 0)
 	return result, nil
 }
 
@@ -76,26 +73,26 @@
 	case errors.Is(err, platform.ErrClaimed) && earlier.State == platform.ClaimDone:
 		return earlier.Result, nil
 	case errors.Is(err, platform.ErrClaimed):
-		return nil, &refusal{
-			reason: callerpb.Reason_REASON_CLAIMED, outcome: callerpb.Outcome_OUTCOME_UNKNOWN,
-			message: "an earlier request of this id was claimed and may have run",
+		return nil, &domain.Refusal{
+			Reason: domain.Claimed, Outcome: domain.Unknown,
+			Message: "an earlier request of this id was claimed and may have run",
 		}
 	case errors.Is(err, platform.ErrLimited):
-		return nil, notRun(callerpb.Reason_REASON_LIMITED, "too many requests need a claim")
+		return nil, notRun(domain.Limited, "too many requests need a claim")
 	}
-	return nil, notRun(callerpb.Reason_REASON_UNAVAILABLE, "cannot claim the request: %v", err)
+	return nil, notRun(domain.Unavailable, "cannot claim the request: %v", err)
 }
 
 // settle notes in the claim what became of the request. While nothing is
 // certain the claim stays as it is.
-func settle(claim *platform.Claim, outcome callerpb.Outcome, result []byte) {
-	if outcome == callerpb.Outcome_OUTCOME_UNKNOWN {
+func settle(claim *platform.Claim, outcome domain.Outcome, result []byte) {
+	if outcome == domain.Unknown {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 		defer cancel()
-		if outcome == callerpb.Outcome_OUTCOME_RAN {
+		if outcome == domain.Ran {
 			claim.Finish(ctx, result)
 			return
 		}
--- a/lentilward/caller/fake_test.go
+++ b/lentilward/caller/fake_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"lentilward.org/lentilward/backend"
+	"lentilward.org/lentilward/backendrpc"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/platform"
@@ -126,7 +127,7 @@
 		f := &fakeServer{versions: []uint64{1}}
 		s := &blackboard.Server{
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port+i)),
-			Service: name, Client: f, Refresh: func() {},
+			Service: name, Client: backendrpc.New(f), Refresh: func() {},
 		}
 		s.SetBoot(1)
 		s.WarmBootID.Store(1)
--- a/lentilward/caller/gather.go
+++ b/lentilward/caller/gather.go
@@ -9,8 +9,7 @@
 
 	"lentilward.org/lentilward/backend"
 	"lentilward.org/lentilward/blackboard"
-	"lentilward.org/schema/backendpb"
-	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/domain"
 )
 
 // part is the part of an answer that came from one service. All its replies
@@ -19,7 +18,7 @@
 	service string
 	version uint64
 	// replies is indexed by shard; nil where a shard is missing.
-	replies []*backendpb.SearchReply
+	replies []*domain.ShardReply
 	gone    bool
 	err     error
 	// slowest is the result that took the longest.
@@ -74,12 +73,12 @@
 	name := routes.Service.Name
 	version := routes.Pin
 	if version == nil {
-		return part{service: name, replies: make([]*backendpb.SearchReply, routes.Service.Shards), err: backend.ErrNoServer}
+		return part{service: name, replies: make([]*domain.ShardReply, routes.Service.Shards), err: backend.ErrNoServer}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	shards := len(version.Holders)
-	p := part{service: name, version: version.Version, replies: make([]*backendpb.SearchReply, shards)}
+	p := part{service: name, version: version.Version, replies: make([]*domain.ShardReply, shards)}
 	results := make(chan backend.Result, shards)
 	for shard := range uint32(shards) {
 		if c != nil && c.service == name && c.version == version.Version && c.result.Shard == shard {
@@ -100,7 +99,7 @@
 			continue
 		}
 		p.err = r.Err
-		if errors.Is(r.Err, backend.ErrVersionGone) {
+		if errors.Is(r.Err, domain.ErrVersionGone) {
 			clear(p.replies)
 			p.gone = true
 			return p
@@ -123,8 +122,8 @@
 }
 
 // coverage states what one service contributed.
-func (p *part) coverage() *callerpb.ServiceCoverage {
-	c := &callerpb.ServiceCoverage{Service: p.service, Version: p.version, Shards: uint32(len(p.replies))}
+func (p *part) coverage() domain.ServiceCoverage {
+	c := domain.ServiceCoverage{Service: p.service, Version: p.version, Shards: uint32(len(p.replies))}
 	for shard, r := range p.replies {
 		if r == nil {
 			c.Missing = append(c.Missing, uint32(shard))
@@ -134,25 +133,29 @@
 }
 
 // merge returns the matches of all parts, the best first.
-func merge(parts []part) []*callerpb.Match {
+func merge(parts []part) []domain.Match {
 	n := 0
 	for _, p := range parts {
 		for _, r := range p.replies {
-			n += len(r.GetMatches())
+			if r != nil {
+				n += len(r.Matches)
+			}
 		}
 	}
-	storage := make([]callerpb.Match, n)
-	matches := make([]*callerpb.Match, 0, n)
+	matches := make([]domain.Match, 0, n)
 	for _, p := range parts {
 		for shard, r := range p.replies {
-			for _, m := range r.GetMatches() {
-				x := &storage[len(matches)]
-				x.Service, x.Shard, x.Record, x.Score, x.Text = p.service, uint32(shard), m.Record, m.Score, m.Text
-				matches = append(matches, x)
+			if r == nil {
+				continue
+			}
+			for _, m := range r.Matches {
+				matches = append(matches, domain.Match{
+					Service: p.service, Shard: uint32(shard), Record: m.Record, Score: m.Score, Text: m.Text,
+				})
 			}
 		}
 	}
-	slices.SortFunc(matches, func(a, b *callerpb.Match) int {
+	slices.SortFunc(matches, func(a, b domain.Match) int {
 		if c := cmp.Compare(b.Score, a.Score); c != 0 {
 			return c
 		}
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -5,22 +5,16 @@
 	"log/slog"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"lentilward.org/lentilward/backend"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/platform"
 	"lentilward.org/lentilward/suspect"
-	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/domain"
 )
 
-// matchesPerChunk is the number of matches in one frame of an answer.
-const matchesPerChunk = 256
-
 // Server serves the caller interface.
 type Server struct {
-	callerpb.UnimplementedCallerServer
 	board     *blackboard.Board
 	runner    *backend.Runner
 	claims    *platform.Claims
@@ -41,62 +35,39 @@
 	}
 }
 
-// Search answers one search.
-func (s *Server) Search(r *callerpb.SearchRequest, stream grpc.ServerStreamingServer[callerpb.SearchReply]) error {
+// Search answers one search. Its errors are refusals.
+func (s *Server) Search(ctx context.Context, r *domain.SearchRequest) (*domain.SearchAnswer, error) {
 	begin := time.Now()
-	a, err := s.search(stream.Context(), r, begin)
+	a, err := s.search(ctx, r, begin)
 	if err != nil {
-		return s.refuse(r.Caller, r.RequestId, r.Resent, err)
+		return nil, s.refuse(r.Caller, r.ID, r.Resent, err)
 	}
-	a.summary.ElapsedUs = time.Since(begin).Microseconds()
-	s.metrics.Answered(r.Caller, a.class, time.Since(begin), a.summary.Attempts, a.summary.Hedges,
-		a.summary.ShardsTotal-a.summary.ShardsCovered)
-	return send(stream, r.RequestId, a)
-}
-
-// answer is a whole answer that was not sent yet.
-type answer struct {
-	class   blackboard.Class
-	matches []*callerpb.Match
-	summary *callerpb.Summary
-}
-
-// send streams an answer in numbered chunks and ends it with its summary.
-func send(stream grpc.ServerStreamingServer[callerpb.SearchReply], id string, a *answer) error {
-	chunk := uint32(0)
-	for rest := a.matches; len(rest) > 0; chunk++ {
-		n := min(len(rest), matchesPerChunk)
-		if err := stream.Send(&callerpb.SearchReply{RequestId: id, Chunk: chunk, Matches: rest[:n]}); err != nil {
-			return err
-		}
-		rest = rest[n:]
-	}
-	a.summary.Chunks = chunk
-	a.summary.Matches = uint64(len(a.matches))
-	return stream.Send(&callerpb.SearchReply{RequestId: id, Chunk: chunk, Summary: a.summary})
+	a.Took = time.Since(begin)
+	s.metrics.Answered(r.Caller, r.Class, a.Took, a.Attempts, a.Hedges, a.ShardsTotal-a.ShardsCovered)
+	return a, nil
 }
 
 // refuse counts and logs a refusal. Of a request that was sent before it is
 // not known here whether it ran then.
 func (s *Server) refuse(caller, id string, resent bool, err error) error {
 	r := asRefusal(err)
-	if resent && r.outcome == callerpb.Outcome_OUTCOME_NOT_RUN {
-		r.outcome = callerpb.Outcome_OUTCOME_UNKNOWN
+	if resent && r.Outcome == domain.NotRun {
+		r.Outcome = domain.Unknown
 	}
-	s.metrics.Refused(r.reason, r.outcome)
-	s.log.Debug("refused", "caller", caller, "request-id", id, "reason", r.reason, "outcome", r.outcome,
-		"message", r.message)
+	s.metrics.Refused(r.Reason, r.Outcome)
+	s.log.Debug("refused", "caller", caller, "request-id", id, "reason", r.Reason, "outcome", r.Outcome,
+		"message", r.Message)
 	return r
 }
 
 // search admits a request, searches all shards and merges what they found.
-func (s *Server) search(ctx context.Context, r *callerpb.SearchRequest, begin time.Time) (*answer, error) {
-	leave, refused := s.admission.enter(r.Caller, r.RequestId)
+func (s *Server) search(ctx context.Context, r *domain.SearchRequest, begin time.Time) (*domain.SearchAnswer, error) {
+	leave, refused := s.admission.enter(r.Caller, r.ID)
 	if refused != nil {
 		return nil, refused
 	}
 	defer leave()
-	q, least, refused := newRequest(ctx, r, begin)
+	q, refused := newRequest(ctx, r, begin)
 	if refused != nil {
 		return nil, refused
 	}
@@ -125,33 +96,25 @@
 		return nil, refused
 	}
 	s.logSlow(q, parts, time.Since(begin))
-	return s.conclude(q, parts, least, routes.Revision)
+	return s.conclude(q, parts, r.LeastCoverage, routes.Revision)
 }
 
 // newRequest checks a search and returns the request to run.
-func newRequest(ctx context.Context, r *callerpb.SearchRequest, begin time.Time) (_ *backend.Request, least float64, _ *refusal) {
+func newRequest(ctx context.Context, r *domain.SearchRequest, begin time.Time) (*backend.Request, *domain.Refusal) {
 	if r.Query == "" {
-		return nil, 0, notRun(callerpb.Reason_REASON_INVALID, "query: must not be empty")
+		return nil, notRun(domain.Malformed, "query: must not be empty")
 	}
 	if len(r.Query) > suspect.MaxQuery {
-		return nil, 0, notRun(callerpb.Reason_REASON_TOO_LARGE, "query: at most %d bytes", suspect.MaxQuery)
-	}
-	least = 1
-	if r.LeastCoverage != nil {
-		least = *r.LeastCoverage
+		return nil, notRun(domain.TooLarge, "query: at most %d bytes", suspect.MaxQuery)
 	}
-	if !(least >= 0 && least <= 1) {
-		return nil, 0, notRun(callerpb.Reason_REASON_INVALID, "least-coverage: want 0 to 1")
+	if !(r.LeastCoverage >= 0 && r.LeastCoverage <= 1) {
+		return nil, notRun(domain.Malformed, "least-coverage: want 0 to 1")
 	}
-	c, refused := class(r.Class)
+	due, refused := deadline(ctx, r.TimeLeft, begin)
 	if refused != nil {
-		return nil, 0, refused
-	}
-	due, refused := deadline(ctx, r.DeadlineMs, begin)
-	if refused != nil {
-		return nil, 0, refused
+		return nil, refused
 	}
-	return &backend.Request{ID: r.RequestId, Query: r.Query, Class: c, Deadline: due, Patient: least >= 1}, least, nil
+	return &backend.Request{ID: r.ID, Query: r.Query, Class: r.Class, Deadline: due, Patient: r.LeastCoverage >= 1}, nil
 }
 
 // waitShare is the inverse of the share of its time that a request may be
@@ -160,12 +123,12 @@
 
 // foresee refuses a request that would likely miss its deadline behind those
 // that wait already.
-func (s *Server) foresee(q *backend.Request, services []*blackboard.ServiceRoutes, now time.Time) *refusal {
+func (s *Server) foresee(q *backend.Request, services []*blackboard.ServiceRoutes, now time.Time) *domain.Refusal {
 	left := q.Deadline.Sub(now)
 	for _, r := range services {
 		if wait := s.runner.ExpectedWait(r, q.Class); wait > left/waitShare {
-			x := notRun(callerpb.Reason_REASON_OVERLOADED, "service %q: expected wait of %v exceeds the deadline", r.Service.Name, wait)
-			x.retryAfter = wait
+			x := notRun(domain.Overloaded, "service %q: expected wait of %v exceeds the deadline", r.Service.Name, wait)
+			x.RetryAfter = wait
 			return x
 		}
 	}
@@ -173,7 +136,7 @@
 }
 
 // run asks all shards, after one of them if the query may do harm.
-func (s *Server) run(ctx context.Context, q *backend.Request, services []*blackboard.ServiceRoutes) ([]part, *refusal) {
+func (s *Server) run(ctx context.Context, q *backend.Request, services []*blackboard.ServiceRoutes) ([]part, *domain.Refusal) {
 	if s.policy.Plain {
 		return s.gather(ctx, q, services, nil), nil
 	}
@@ -189,19 +152,17 @@
 }
 
 // conclude makes the answer, or a refusal if too few shards are covered.
-func (s *Server) conclude(q *backend.Request, parts []part, least float64, revision uint64) (*answer, error) {
+func (s *Server) conclude(q *backend.Request, parts []part, least float64, revision uint64) (*domain.SearchAnswer, error) {
 	have, total := covered(parts)
 	if float64(have) < least*float64(total) {
 		return nil, incomplete(q, parts, have, total)
 	}
-	a := &answer{class: q.Class, matches: merge(parts)}
-	a.summary = &callerpb.Summary{
-		ShardsTotal: uint32(total), ShardsCovered: uint32(have),
-		Attempts: q.Attempts(), Hedges: q.Hedges(),
-		ConfigRevision: revision, Instance: s.board.Own.Load().Name,
+	a := &domain.SearchAnswer{
+		Matches: merge(parts), ShardsTotal: uint32(total), ShardsCovered: uint32(have),
+		Attempts: q.Attempts(), Hedges: q.Hedges(), Revision: revision, Instance: s.board.Own.Load().Name,
 	}
 	for i := range parts {
-		a.summary.Services = append(a.summary.Services, parts[i].coverage())
+		a.Coverage = append(a.Coverage, parts[i].coverage())
 	}
 	return a, nil
 }
--- a/lentilward/caller/session_test.go
+++ b/lentilward/caller/session_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/lentilward/callerrpc"
 	"lentilward.org/schema/callerpb"
 )
 
@@ -122,7 +123,7 @@
 		}
 		go func() {
 			stream := &fakeStream{ctx: context.Background()}
-			if err := t.server.Search(copied, stream); err != nil {
+			if err := callerrpc.New(t.server.Search, t.server.Execute).Search(copied, stream); err != nil {
 				results[i] = describe(err)
 			} else {
 				results[i] = frames(stream.frames)
@@ -138,7 +139,7 @@
 }
 
 func (t *tier) execute(d *datadriven.TestData) string {
-	reply, err := t.server.Execute(context.Background(), &callerpb.ExecuteRequest{
+	reply, err := callerrpc.New(t.server.Search, t.server.Execute).Execute(context.Background(), &callerpb.ExecuteRequest{
 		RequestId: arg(d, "id"), Caller: "tester", Service: arg(d, "service"), Payload: []byte(strings.TrimSpace(d.Input)),
 		Resent:     d.HasArg("resent"),
 		DeadlineMs: int64(number(d, "deadline-ms")),
--- a/lentilward/caller/try.go
+++ b/lentilward/caller/try.go
@@ -7,13 +7,13 @@
 	"lentilward.org/lentilward/backend"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/suspect"
-	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/domain"
 )
 
 // try runs a query of unknown shape, or one that servers were lost with, on
 // one shard before the others are asked. It refuses a query that servers are
 // lost with again.
-func (s *Server) try(ctx context.Context, q *backend.Request, services []*blackboard.ServiceRoutes) (*canary, *refusal) {
+func (s *Server) try(ctx context.Context, q *backend.Request, services []*blackboard.ServiceRoutes) (*canary, *domain.Refusal) {
 	fingerprint := suspect.Fingerprint(q.Query)
 	crashes := s.board.Suspects.Load().Crashes(fingerprint)
 	if crashes >= suspect.MaxCrashes {
@@ -64,8 +64,8 @@
 }
 
 // harmful refuses a query that servers were lost with.
-func harmful(q *backend.Request, crashes uint32) *refusal {
-	r := notRun(callerpb.Reason_REASON_SUSPECT, "query was running when %d backend servers went away", crashes)
-	r.outcome = q.Outcome()
+func harmful(q *backend.Request, crashes uint32) *domain.Refusal {
+	r := notRun(domain.Harmful, "query was running when %d backend servers went away", crashes)
+	r.Outcome = q.Outcome()
 	return r
 }
--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -17,6 +17,7 @@
 	"lentilward.org/lentilward/backend"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/caller"
+	"lentilward.org/lentilward/callerrpc"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/monitor"
@@ -255,7 +256,7 @@
 
 func (c *Core) grpcServers() (callers, operators *grpc.Server) {
 	callers = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage))
-	callerpb.RegisterCallerServer(callers, c.callers)
+	callerpb.RegisterCallerServer(callers, callerrpc.New(c.callers.Search, c.callers.Execute))
 	operators = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage))
 	operatorpb.RegisterOperatorServer(operators, c.operator)
 	return callers, operators
--- a/lentilward/fleet/fleet.go
+++ b/lentilward/fleet/fleet.go
@@ -12,7 +12,7 @@
 	"github.com/samber/lo"
 
 	"lentilward.org/lentilward/blackboard"
-	"lentilward.org/schema/backendpb"
+	"lentilward.org/schema/domain"
 )
 
 const (
@@ -45,14 +45,14 @@
 type tracked struct {
 	server *blackboard.Server
 	stop   context.CancelFunc
-	status *backendpb.StatusReply
+	status *domain.ServerStatus
 }
 
 // report is news from one server's watcher.
 type report struct {
 	server *blackboard.Server
 	// status is nil when the connection was lost.
-	status *backendpb.StatusReply
+	status *domain.ServerStatus
 }
 
 // New returns a fleet; Run starts it.
@@ -144,7 +144,7 @@
 
 // inService tells whether the configuration and the server itself allow new
 // work.
-func (f *Fleet) inService(c *blackboard.Config, b blackboard.BackendServer, status *backendpb.StatusReply) bool {
+func (f *Fleet) inService(c *blackboard.Config, b blackboard.BackendServer, status *domain.ServerStatus) bool {
 	if _, withdrawn := c.Withdrawn[b.DataCentre]; withdrawn || b.Draining {
 		return false
 	}
@@ -195,7 +195,7 @@
 	}
 }
 
-func sameVersions(a, b []*backendpb.Version) bool {
+func sameVersions(a, b []domain.ServerVersion) bool {
 	if len(a) != len(b) {
 		return false
 	}
--- a/lentilward/fleet/watcher.go
+++ b/lentilward/fleet/watcher.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
 
+	"lentilward.org/lentilward/backendrpc"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/schema/backendpb"
 	"lentilward.org/schema/dial"
@@ -35,7 +36,7 @@
 		return nil, err
 	}
 	w := &watcher{server: s, conn: conn, reports: reports, refresh: make(chan struct{}, 1)}
-	s.Client = backendpb.NewBackendClient(conn)
+	s.Client = backendrpc.New(backendpb.NewBackendClient(conn))
 	s.Refresh = w.askSoon
 	return w, nil
 }
@@ -98,11 +99,11 @@
 func (w *watcher) ask(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	status, err := w.server.Client.Status(call, &backendpb.StatusRequest{})
+	status, err := w.server.Client.Status(call)
 	if err != nil || ctx.Err() != nil {
 		return
 	}
-	w.server.SetBoot(status.BootId)
+	w.server.SetBoot(status.BootID)
 	w.server.Connected.Store(true)
 	w.send(ctx, report{server: w.server, status: status})
 }
--- a/lentilward/monitor/metrics.go
+++ b/lentilward/monitor/metrics.go
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"lentilward.org/lentilward/blackboard"
-	"lentilward.org/schema/callerpb"
+	"lentilward.org/schema/domain"
 )
 
 const (
@@ -79,7 +79,7 @@
 }
 
 // Refused notes a refusal.
-func (m *Metrics) Refused(reason callerpb.Reason, outcome callerpb.Outcome) {
+func (m *Metrics) Refused(reason domain.Reason, outcome domain.Outcome) {
 	m.refusals.WithLabelValues(reason.String(), outcome.String()).Inc()
 }
 
--- a/lentilward/scatter/delegate_test.go
+++ b/lentilward/scatter/delegate_test.go
@@ -173,8 +173,12 @@
 func TestOddPartialsAreNotTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for _, odd := range []Partial{
-			{Done: []int{7}, Receipts: []string{"x"}}, {Done: []int{-1}, Receipts: []string{"x"}},
-			{Done: []int{0, 0}, Receipts: []string{"x", "y"}}, {Done: []int{0}}, {Late: []int{1}}, {Failed: []int{1}},
+			{Done: []int{7}, Receipts: []string{"x"}},
+			{Done: []int{-1}, Receipts: []string{"x"}},
+			{Done: []int{0, 0}, Receipts: []string{"x", "y"}},
+			{Done: []int{0}},
+			{Late: []int{1}},
+			{Failed: []int{1}},
 		} {
 			services := farShards(t, 5, near("a", 10*time.Millisecond), near("b", 10*time.Millisecond))
 			e := helped(services, false, nil)
--- a/lentilward/suspect/suspect_test.go
+++ b/lentilward/suspect/suspect_test.go
@@ -43,8 +43,10 @@
 func TestFingerprintTellsRequestsApart(t *testing.T) {
 	seen := make(map[uint64]bool)
 	for _, r := range []domain.Request{
-		{Method: "GET", Host: "h", Target: "/x"}, {Method: "POST", Host: "h", Target: "/x"},
-		{Method: "GET", Host: "g", Target: "/x"}, {Method: "GET", Host: "h", Target: "/x?"},
+		{Method: "GET", Host: "h", Target: "/x"},
+		{Method: "POST", Host: "h", Target: "/x"},
+		{Method: "GET", Host: "g", Target: "/x"},
+		{Method: "GET", Host: "h", Target: "/x?"},
 		{Method: "GET", Host: "h", Target: "/x", Body: []byte("b")},
 	} {
 		if x := RequestFingerprint(&r); seen[x] {
--- a/schema/domain/domain.go
+++ b/schema/domain/domain.go
@@ -3,6 +3,7 @@
 package domain
 
 import (
+	"errors"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -199,13 +200,23 @@
 	Harmful
 	// Abandoned means that the caller has left.
 	Abandoned
+	// Stopping means that the instance stops.
+	Stopping
+	// Duplicate means that a request with the same ID is in flight.
+	Duplicate
+	// Limited means that a limit of the service was reached.
+	Limited
+	// Claimed means that an earlier request with the same ID may have run.
+	Claimed
+	// Unavailable means that what must be kept cannot be written.
+	Unavailable
 )
 
 // String returns the reason in lower case.
 func (r Reason) String() string {
 	return [...]string{
 		"no-configuration", "no-route", "too-large", "malformed", "no-server", "overloaded", "timed-out",
-		"incomplete", "failed", "harmful", "abandoned",
+		"incomplete", "failed", "harmful", "abandoned", "stopping", "duplicate", "limited", "claimed", "unavailable",
 	}[r]
 }
 
@@ -216,11 +227,23 @@
 	// RetryAfter is when room is expected.
 	RetryAfter time.Duration
 	Message    string
+	// Covered and Total count the shards of an answer that was incomplete.
+	Covered, Total int
 }
 
 // Error returns the message.
 func (r *Refusal) Error() string { return r.Message }
 
+// Errors of a call to a backend server.
+var (
+	// ErrVersionGone means that the server does not have the version asked for.
+	ErrVersionGone = errors.New("version is gone")
+	// ErrLost means that the server went away during the call.
+	ErrLost = errors.New("backend server lost")
+	// ErrRefused means that the server refused before it ran the request.
+	ErrRefused = errors.New("refused by the backend server")
+)
+
 // Answer is what a caller gets: a server's reply, or what was merged from the
 // replies of several shards.
 type Answer struct {
