Keep everything in the platform's store over HTTP

Change: one client serves configuration, claims and the list of instances; the stand-in speaks the platform's protocol and is down, refuses some, is slow, loses answers at once or late, lets leases lapse and forgets its history. The gRPC key-value service, its instance list and their generated code are gone; instances list themselves under a lease. Ruled out: a watch from an old revision of a key, which the store forgets after 20 s and would answer at once for ever.

--- a/lentilstand/control/control.go
+++ b/lentilstand/control/control.go
@@ -19,13 +19,13 @@
 // Control serves the control interface of one stand-in process.
 type Control struct {
 	standpb.UnimplementedStandServer
-	servers  []*backend.Server
-	keyValue *platform.KeyValue
+	servers []*backend.Server
+	store   *platform.Store
 }
 
 // New returns a control of these stand-ins.
-func New(servers []*backend.Server, keyValue *platform.KeyValue) *Control {
-	return &Control{servers: servers, keyValue: keyValue}
+func New(servers []*backend.Server, store *platform.Store) *Control {
+	return &Control{servers: servers, store: store}
 }
 
 // Ledger streams every call that reached a backend server.
@@ -54,14 +54,20 @@
 	d := time.Duration(f.DurationMs) * time.Millisecond
 	switch f.Kind {
 	case "kv-outage":
-		c.keyValue.Outage(d)
+		c.store.Outage(d, false, false)
 		return &standpb.FaultReply{Summary: "outage of the key-value service"}, nil
 	case "kv-slow":
-		c.keyValue.Slow(time.Duration(f.Amount)*time.Millisecond, d)
+		c.store.Slow(time.Duration(f.Amount)*time.Millisecond, d)
 		return &standpb.FaultReply{Summary: "slow key-value service"}, nil
 	case "kv-lose-answers":
-		c.keyValue.LoseAnswers(f.Amount, d)
+		c.store.LoseAnswers(f.Amount, d, false)
 		return &standpb.FaultReply{Summary: "key-value service loses answers"}, nil
+	case "kv-lapse":
+		c.store.Lapse()
+		return &standpb.FaultReply{Summary: "all leases have ended"}, nil
+	case "kv-compact":
+		c.store.Compact(d)
+		return &standpb.FaultReply{Summary: "history of the store is dropped"}, nil
 	}
 	apply, err := serverFault(f, d)
 	if err != nil {
--- a/lentilstand/main.go
+++ b/lentilstand/main.go
@@ -6,10 +6,9 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/netip"
+	"net/http"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
@@ -21,7 +20,6 @@
 	"lentilward.org/lentilstand/control"
 	"lentilward.org/lentilstand/platform"
 	"lentilward.org/lentilstand/site"
-	"lentilward.org/schema/platformpb"
 	"lentilward.org/schema/standpb"
 )
 
@@ -29,16 +27,16 @@
 	app := kingpin.New("lentilstand", "Stand-ins for backend servers and the platform.")
 	run := app.Command("run", "Run the stand-ins of a site.")
 	runSite := run.Arg("site", "Site file.").Required().ExistingFile()
-	listen := run.Flag("listen", "Address of the platform and control interface.").Default("127.0.0.1:19000").String()
+	listen := run.Flag("listen", "Address of the control interface.").Default("127.0.0.1:19000").String()
+	store := run.Flag("store", "Address of the platform's store, over HTTP.").Default("127.0.0.1:19001").String()
 	seed := run.Flag("seed", "Seed of all random draws.").Default("1").Uint64()
-	list := run.Flag("instance", "Instance in the platform's list, as name=IP:port,data-centre.").Strings()
 	services := app.Command("services", "Print a site's services as TOML for lentilctl service apply.")
 	servicesSite := services.Arg("site", "Site file.").Required().ExistingFile()
 
 	var err error
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
-		err = runStand(*runSite, *listen, *seed, *list)
+		err = runStand(*runSite, *listen, *store, *seed)
 	case services.FullCommand():
 		err = printServices(*servicesSite)
 	}
@@ -48,15 +46,14 @@
 	}
 }
 
-func runStand(path, listen string, seed uint64, list []string) error {
+// headerTimeout bounds the header of a call to the store.
+const headerTimeout = 5 * time.Second
+
+func runStand(path, listen, storeAddress string, seed uint64) error {
 	s, err := site.Read(path)
 	if err != nil {
 		return err
 	}
-	instances, err := parseInstances(list)
-	if err != nil {
-		return err
-	}
 	var servers []*backend.Server
 	for _, d := range s.Servers() {
 		b := backend.New(d, time.Duration(s.NetworkDelay), seed)
@@ -69,42 +66,31 @@
 	if err != nil {
 		return merry.Wrap(err)
 	}
-	keyValue := platform.New(seed)
+	storeListener, err := net.Listen("tcp", storeAddress)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	store := platform.New(seed)
+	h := &http.Server{Handler: store.Handler(), ReadHeaderTimeout: headerTimeout}
+	go h.Serve(storeListener)
 	g := grpc.NewServer()
-	platformpb.RegisterKeyValueServer(g, keyValue)
-	platformpb.RegisterInstancesServer(g, platform.NewInstances(instances))
-	standpb.RegisterStandServer(g, control.New(servers, keyValue))
+	standpb.RegisterStandServer(g, control.New(servers, store))
 	go g.Serve(l)
-	slog.Info("stand-ins ready", "site", s.Name, "backend-servers", len(servers), "listen", listen)
+	slog.Info("stand-ins ready", "site", s.Name, "backend-servers", len(servers), "listen", listen, "store", storeAddress)
 
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	<-stop
-	c := keyValue.Counts()
+	c := store.Counts()
 	slog.Info("platform calls", "reads", c.Reads, "writes", c.Writes, "waits", c.Waits, "refused", c.Refused)
 	g.Stop()
+	h.Close()
 	for _, b := range servers {
 		b.Stop()
 	}
 	return nil
 }
 
-func parseInstances(list []string) ([]*platformpb.Instance, error) {
-	var instances []*platformpb.Instance
-	for _, text := range list {
-		name, rest, ok := strings.Cut(text, "=")
-		address, dataCentre, ok2 := strings.Cut(rest, ",")
-		if !ok || !ok2 {
-			return nil, merry.Errorf("instance %q: want name=IP:port,data-centre", text)
-		}
-		if _, err := netip.ParseAddrPort(address); err != nil {
-			return nil, merry.Prependf(err, "instance %q", text)
-		}
-		instances = append(instances, &platformpb.Instance{Name: name, PeerAddress: address, DataCentre: dataCentre})
-	}
-	return instances, nil
-}
-
 // printServices writes the services file of a site.
 func printServices(path string) error {
 	s, err := site.Read(path)
--- a/lentilward/caller/bench_test.go
+++ b/lentilward/caller/bench_test.go
@@ -15,7 +15,7 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/callerrpc"
 	"lentilward.org/lentilward/monitor"
-	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/store"
 	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/backendpb"
 	"lentilward.org/schema/callerpb"
@@ -87,6 +87,6 @@
 	}
 	board.Routes.Store(&blackboard.Routes{Services: map[string]*blackboard.ServiceRoutes{"s": r}, Revision: 1})
 	log := slog.New(slog.DiscardHandler)
-	return New(board, backend.New(ctx, "bench", backend.Policy{}), platform.NewClaims(nil, "bench"),
+	return New(board, backend.New(ctx, "bench", backend.Policy{}), store.NewClaims(nil, "bench"),
 		suspect.New(board), monitor.NewMetrics(), backend.Policy{}, log)
 }
--- a/lentilward/caller/execute.go
+++ b/lentilward/caller/execute.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"lentilward.org/lentilward/backend"
-	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/store"
 	"lentilward.org/schema/domain"
 )
 
@@ -68,16 +68,16 @@
 }
 
 // claimed answers a request that this instance does not run.
-func claimed(earlier platform.Earlier, err error) ([]byte, error) {
+func claimed(earlier store.Earlier, err error) ([]byte, error) {
 	switch {
-	case errors.Is(err, platform.ErrClaimed) && earlier.State == platform.ClaimDone:
+	case errors.Is(err, store.ErrClaimed) && earlier.State == store.ClaimDone:
 		return earlier.Result, nil
-	case errors.Is(err, platform.ErrClaimed):
+	case errors.Is(err, store.ErrClaimed):
 		return nil, &domain.Refusal{
 			Reason: domain.Claimed, Outcome: domain.Unknown,
 			Message: "an earlier request of this id was claimed and may have run",
 		}
-	case errors.Is(err, platform.ErrLimited):
+	case errors.Is(err, store.ErrLimited):
 		return nil, notRun(domain.Limited, "too many requests need a claim")
 	}
 	return nil, notRun(domain.Unavailable, "cannot claim the request: %v", err)
@@ -85,7 +85,7 @@
 
 // settle notes in the claim what became of the request. While nothing is
 // certain the claim stays as it is.
-func settle(claim *platform.Claim, outcome domain.Outcome, result []byte) {
+func settle(claim *store.Claim, outcome domain.Outcome, result []byte) {
 	if outcome == domain.Unknown {
 		return
 	}
--- a/lentilward/caller/fake_test.go
+++ b/lentilward/caller/fake_test.go
@@ -17,7 +17,7 @@
 	"lentilward.org/lentilward/backendrpc"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/monitor"
-	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/store"
 	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/backendpb"
 	"lentilward.org/schema/callerpb"
@@ -94,7 +94,7 @@
 	servers map[string][]*fakeServer
 	routes  map[string]*blackboard.ServiceRoutes
 	kvMu    sync.Mutex
-	kv      map[string]platform.Entry
+	kv      map[string]store.Entry
 	kvDown  bool
 }
 
@@ -103,11 +103,11 @@
 		board:   blackboard.New(blackboard.Own{Name: "test", Phase: blackboard.Serving}),
 		servers: make(map[string][]*fakeServer),
 		routes:  make(map[string]*blackboard.ServiceRoutes),
-		kv:      make(map[string]platform.Entry),
+		kv:      make(map[string]store.Entry),
 	}
 	log := slog.New(slog.DiscardHandler)
 	runner := backend.New(ctx, "test", backend.Policy{})
-	t.server = New(t.board, runner, platform.NewClaims(t.keyValue(), "test"), suspect.New(t.board),
+	t.server = New(t.board, runner, store.NewClaims(t.keyValue(), "test"), suspect.New(t.board),
 		monitor.NewMetrics(), backend.Policy{}, log)
 	t.add("billing", 2, 1000)
 	t.add("audit", 1, 2000)
@@ -159,13 +159,13 @@
 	t.board.Routes.Store(routes)
 }
 
-func (t *tier) keyValue() *platform.KeyValue {
-	return &platform.KeyValue{
-		Get: func(_ context.Context, key string) (platform.Entry, error) {
+func (t *tier) keyValue() *store.KeyValue {
+	return &store.KeyValue{
+		Get: func(_ context.Context, key string) (store.Entry, error) {
 			t.kvMu.Lock()
 			defer t.kvMu.Unlock()
 			if t.kvDown {
-				return platform.Entry{}, platform.ErrUnavailable
+				return store.Entry{}, store.ErrUnavailable
 			}
 			return t.kv[key], nil
 		},
@@ -173,19 +173,19 @@
 			t.kvMu.Lock()
 			defer t.kvMu.Unlock()
 			if t.kvDown {
-				return 0, platform.ErrUnavailable
+				return 0, store.ErrUnavailable
 			}
 			if t.kv[key].Revision != expected {
-				return 0, platform.ErrConflict
+				return 0, store.ErrConflict
 			}
-			t.kv[key] = platform.Entry{Value: value, Revision: expected + 1}
+			t.kv[key] = store.Entry{Value: value, Revision: expected + 1}
 			return expected + 1, nil
 		},
 		GrantLease: func(context.Context, time.Duration) (uint64, error) {
 			t.kvMu.Lock()
 			defer t.kvMu.Unlock()
 			if t.kvDown {
-				return 0, platform.ErrUnavailable
+				return 0, store.ErrUnavailable
 			}
 			return 1, nil
 		},
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -8,7 +8,7 @@
 	"lentilward.org/lentilward/backend"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/monitor"
-	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/store"
 	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/domain"
 )
@@ -17,7 +17,7 @@
 type Server struct {
 	board     *blackboard.Board
 	runner    *backend.Runner
-	claims    *platform.Claims
+	claims    *store.Claims
 	suspects  *suspect.List
 	metrics   *monitor.Metrics
 	log       *slog.Logger
@@ -28,7 +28,7 @@
 }
 
 // New returns a server.
-func New(board *blackboard.Board, runner *backend.Runner, claims *platform.Claims, suspects *suspect.List, metrics *monitor.Metrics, policy backend.Policy, log *slog.Logger) *Server {
+func New(board *blackboard.Board, runner *backend.Runner, claims *store.Claims, suspects *suspect.List, metrics *monitor.Metrics, policy backend.Policy, log *slog.Logger) *Server {
 	return &Server{
 		board: board, runner: runner, claims: claims, suspects: suspects, metrics: metrics, policy: policy, log: log,
 		admission: admission{board: board}, capacity: capacity{most: maxShardsInFlight},
--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -18,13 +18,15 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/caller"
 	"lentilward.org/lentilward/callerrpc"
+	"lentilward.org/lentilward/enlist"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/operator"
 	"lentilward.org/lentilward/peer"
-	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/store"
 	"lentilward.org/lentilward/suspect"
+	"lentilward.org/platform"
 	"lentilward.org/schema/callerpb"
 	"lentilward.org/schema/operatorpb"
 )
@@ -37,7 +39,7 @@
                    ^         ^         ^          ^
                    |         |         |          |
 operators -> operator.Server | member.Table  suspect.List
-platform  -> platform.Watcher|         ^          ^
+platform  -> store.Watcher|         ^          ^
                         fleet.Fleet    |          |
 peers     ----------------------- peer.Server, peer.Links
 */
@@ -49,8 +51,9 @@
 	board    *blackboard.Board
 	fleet    *fleet.Fleet
 	runner   *backend.Runner
-	watcher  *platform.Watcher
-	list     platform.List
+	watcher  *store.Watcher
+	list     store.List
+	enlister *enlist.Enlister
 	table    *member.Table
 	prober   *member.Prober
 	links    *peer.Links
@@ -67,7 +70,7 @@
 
 // newCore collects the components and joins their function fields.
 func newCore(i do.Injector) (*Core, error) {
-	services, err := do.Invoke[platformServices](i)
+	client, err := do.Invoke[*platform.Store](i)
 	if err != nil {
 		return nil, err
 	}
@@ -77,8 +80,9 @@
 		board:    do.MustInvoke[*blackboard.Board](i),
 		fleet:    do.MustInvoke[*fleet.Fleet](i),
 		runner:   do.MustInvoke[*backend.Runner](i),
-		watcher:  do.MustInvoke[*platform.Watcher](i),
-		list:     services.instances,
+		watcher:  do.MustInvoke[*store.Watcher](i),
+		list:     store.NewList(client),
+		enlister: do.MustInvoke[*enlist.Enlister](i),
 		table:    do.MustInvoke[*member.Table](i),
 		prober:   do.MustInvoke[*member.Prober](i),
 		links:    do.MustInvoke[*peer.Links](i),
@@ -91,7 +95,7 @@
 		traffic:  do.MustInvoke[*peer.Traffic](i),
 	}
 	c.join()
-	c.registerGauges(services.calls)
+	c.registerGauges(&client.Calls)
 	return c, nil
 }
 
@@ -104,6 +108,8 @@
 	c.prober.PingVia = c.links.PingVia
 	c.prober.Seeds = c.seeds
 	c.prober.Newer = c.fetch
+	began := time.Now()
+	c.prober.Eager = func() bool { return len(c.others()) == 0 && time.Since(began) < meetTime }
 	c.peers.Ping = func(ctx context.Context, g member.Gossip) member.Gossip {
 		c.prober.Heard(context.WithoutCancel(ctx), g)
 		return c.table.Answer(g.From.Name)
@@ -186,9 +192,9 @@
 		}
 	}
 	seeds := append([]netip.AddrPort(nil), c.options.Peers...)
-	for _, i := range list {
-		if !i.Leaving && i.Address != c.options.Listen.Peers {
-			seeds = append(seeds, i.Address)
+	for _, address := range list {
+		if address != c.options.Listen.Peers {
+			seeds = append(seeds, address)
 		}
 	}
 	if err == nil {
@@ -241,12 +247,16 @@
 	go c.fleet.Run(life)
 	go c.prober.Run(life)
 	go c.watcher.Run(life)
+	listed, leave := context.WithCancel(life)
+	defer leave()
+	go c.enlister.Run(listed)
 	go c.awaitReady(life)
 	select {
 	case err := <-failed:
 		return merry.Wrap(err)
 	case <-stop.Done():
 	}
+	leave()
 	c.stop(callers, operators)
 	c.links.Close()
 	peers.Close()
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -101,10 +101,7 @@
 
 // joinStore connects the follower and the enlister with the store.
 func (g *Gateway) joinStore() {
-	store := platform.NewStore(g.options.Load().Store.Address, &http.Client{Transport: &http.Transport{
-		DisableCompression: true, MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: storeIdle,
-		DialContext: (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
-	}})
+	store := newStoreClient(g.options.Load().Store.Address)
 	g.follower.List = func(ctx context.Context, after string) (*mirror.Page, error) {
 		return asPage(store.Range(ctx, "", after))
 	}
@@ -113,30 +110,11 @@
 	}
 	g.follower.Wait = watchWait
 	g.follower.Reading = g.reads
-	key := platform.InstancePrefix + g.options.Load().Name
-	g.enlister = enlist.New(g.log)
-	g.enlister.Grant = func(ctx context.Context, ttl time.Duration) (uint64, error) {
-		lease, _, err := store.Grant(ctx, ttl)
-		return lease, err
-	}
-	g.enlister.Keep = func(ctx context.Context, lease uint64) error {
-		if err := store.Keep(ctx, lease); errors.Is(err, platform.ErrNotFound) {
-			return enlist.ErrEnded
-		} else if err != nil {
-			return err
-		}
-		return nil
-	}
-	g.enlister.End = store.End
-	g.enlister.Write = func(ctx context.Context, lease uint64) error {
-		value, err := platform.EncodeInstance(g.options.Load().Listen.Peers)
-		if err != nil {
-			return err
-		}
-		_, err = store.Commit(ctx, nil, []platform.Write{{Key: key, Value: value, Lease: lease}}, nil)
-		return err
-	}
-	g.enlister.Listed = func() bool { return len(g.mirror.List(key)) > 0 }
+	o := g.options.Load()
+	g.enlister = newEnlister(store, o.Name, o.Listen.Peers, g.log)
+	g.enlister.Listed = func() bool { return len(g.mirror.List(platform.InstancePrefix+o.Name)) > 0 }
+	g.metrics.Gauge("lentilward_platform_calls", "Calls to the platform.",
+		func() float64 { return float64(store.Calls.Load()) })
 }
 
 // asPage turns a page of the store into one of the mirror.
--- a/lentilward/operator/server.go
+++ b/lentilward/operator/server.go
@@ -11,7 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"lentilward.org/lentilward/blackboard"
-	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/store"
 	"lentilward.org/schema/operatorpb"
 )
 
@@ -19,14 +19,14 @@
 type Server struct {
 	operatorpb.UnimplementedOperatorServer
 	board *blackboard.Board
-	store *platform.Store
+	store *store.Store
 	log   *slog.Logger
 	// Installed is called after an accepted change is in force here.
 	Installed func()
 }
 
 // New returns a server; Installed must be set before it serves.
-func New(board *blackboard.Board, store *platform.Store, log *slog.Logger) *Server {
+func New(board *blackboard.Board, store *store.Store, log *slog.Logger) *Server {
 	return &Server{board: board, store: store, log: log, Installed: func() {}}
 }
 
@@ -176,9 +176,9 @@
 		return err
 	}
 	switch {
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, store.ErrUnknownOutcome):
 		return status.Errorf(codes.Unknown, "%v; send the change again with the same change-id", err)
-	case errors.Is(err, platform.ErrRolledBack):
+	case errors.Is(err, store.ErrRolledBack):
 		return status.Error(codes.FailedPrecondition, err.Error())
 	}
 	return status.Errorf(codes.Unavailable, "the change was not accepted: %v", err)
--- a/lentilward/operator/session_test.go
+++ b/lentilward/operator/session_test.go
@@ -14,35 +14,35 @@
 	"google.golang.org/grpc/status"
 
 	"lentilward.org/lentilward/blackboard"
-	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/store"
 	"lentilward.org/schema/operatorpb"
 )
 
 // memory is a key-value service that loses the answers of writes when told.
 type memory struct {
-	entries  map[string]platform.Entry
+	entries  map[string]store.Entry
 	revision uint64
 	lose     int
 	down     bool
 }
 
-func (m *memory) keyValue() *platform.KeyValue {
-	return &platform.KeyValue{
-		Get: func(_ context.Context, key string) (platform.Entry, error) {
+func (m *memory) keyValue() *store.KeyValue {
+	return &store.KeyValue{
+		Get: func(_ context.Context, key string) (store.Entry, error) {
 			if m.down {
-				return platform.Entry{}, platform.ErrUnavailable
+				return store.Entry{}, store.ErrUnavailable
 			}
 			return m.entries[key], nil
 		},
 		Put: func(_ context.Context, key string, value []byte, expected, _ uint64) (uint64, error) {
 			if m.entries[key].Revision != expected {
-				return 0, platform.ErrConflict
+				return 0, store.ErrConflict
 			}
 			m.revision++
-			m.entries[key] = platform.Entry{Value: value, Revision: m.revision}
+			m.entries[key] = store.Entry{Value: value, Revision: m.revision}
 			if m.lose > 0 {
 				m.lose--
-				return 0, platform.ErrUnavailable
+				return 0, store.ErrUnavailable
 			}
 			return m.revision, nil
 		},
@@ -56,9 +56,9 @@
 // TestSessions runs whole sessions of operators against their golden files.
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		m := &memory{entries: make(map[string]platform.Entry)}
+		m := &memory{entries: make(map[string]store.Entry)}
 		board := blackboard.New(blackboard.Own{Name: "test"})
-		s := New(board, platform.NewStore(m.keyValue(), board), slog.New(slog.DiscardHandler))
+		s := New(board, store.NewStore(m.keyValue(), board), slog.New(slog.DiscardHandler))
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return command(s, m, d)
 		})
--- a/lentilward/options.go
+++ b/lentilward/options.go
@@ -48,10 +48,7 @@
 		EarlyAnswer  bool     `toml:"early-answer"`
 		AnswerMargin duration `toml:"answer-margin"`
 	} `toml:"search"`
-	Platform struct {
-		Address netip.AddrPort `toml:"address"`
-	} `toml:"platform"`
-	// Peers are addresses to try first; the platform's list has the others.
+	// Peers are addresses to try first; the store lists the others.
 	Peers []netip.AddrPort `toml:"peers"`
 	Log   struct {
 		Format string `toml:"format"`
@@ -195,13 +192,13 @@
 
 // addresses are those that the instance cannot do without.
 func (o *Options) addresses() []address {
-	common := []address{{"listen.peers", o.Listen.Peers}, {"listen.monitor", o.Listen.Monitor}}
+	common := []address{
+		{"listen.peers", o.Listen.Peers}, {"listen.monitor", o.Listen.Monitor}, {"store.address", o.Store.Address},
+	}
 	if o.OnPlatform() {
-		return append(common, address{"listen.http", o.Listen.HTTP}, address{"listen.readiness", o.Listen.Readiness},
-			address{"store.address", o.Store.Address})
+		return append(common, address{"listen.http", o.Listen.HTTP}, address{"listen.readiness", o.Listen.Readiness})
 	}
-	return append(common, address{"listen.callers", o.Listen.Callers}, address{"listen.operators", o.Listen.Operators},
-		address{"platform.address", o.Platform.Address})
+	return append(common, address{"listen.callers", o.Listen.Callers}, address{"listen.operators", o.Listen.Operators})
 }
 
 // lineOf returns the line of a key, or 1 if the file does not have it.
--- a/lentilward/platform/main_test.go
+++ b/lentilward/store/main_test.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"flag"
--- a/lentilward/wire.go
+++ b/lentilward/wire.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -12,22 +11,17 @@
 	"lentilward.org/lentilward/backend"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/caller"
+	"lentilward.org/lentilward/enlist"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/operator"
 	"lentilward.org/lentilward/peer"
-	"lentilward.org/lentilward/platform"
+	"lentilward.org/lentilward/store"
 	"lentilward.org/lentilward/suspect"
+	"lentilward.org/platform"
 )
 
-// platformServices are the services at the platform's address.
-type platformServices struct {
-	keyValue  *platform.KeyValue
-	instances platform.List
-	calls     *atomic.Int64
-}
-
 // provide registers how each component is made. Life ends with the process.
 func provide(i do.Injector, life context.Context) {
 	do.Provide(i, func(i do.Injector) (*slog.Logger, error) {
@@ -61,20 +55,25 @@
 }
 
 func providePlatform(i do.Injector) {
-	do.Provide(i, func(i do.Injector) (platformServices, error) {
-		calls := new(atomic.Int64)
-		kv, list, err := platform.Dial(do.MustInvoke[*Options](i).Platform.Address, calls)
-		return platformServices{kv, list, calls}, err
-	})
 	do.Provide(i, func(i do.Injector) (*platform.Store, error) {
-		return platform.NewStore(do.MustInvoke[platformServices](i).keyValue, do.MustInvoke[*blackboard.Board](i)), nil
+		return newStoreClient(do.MustInvoke[*Options](i).Store.Address), nil
+	})
+	do.Provide(i, func(i do.Injector) (*store.KeyValue, error) {
+		return store.NewKeyValue(do.MustInvoke[*platform.Store](i)), nil
+	})
+	do.Provide(i, func(i do.Injector) (*enlist.Enlister, error) {
+		o := do.MustInvoke[*Options](i)
+		return newEnlister(do.MustInvoke[*platform.Store](i), o.Name, o.Listen.Peers, do.MustInvoke[*slog.Logger](i)), nil
+	})
+	do.Provide(i, func(i do.Injector) (*store.Store, error) {
+		return store.NewStore(do.MustInvoke[*store.KeyValue](i), do.MustInvoke[*blackboard.Board](i)), nil
 	})
-	do.Provide(i, func(i do.Injector) (*platform.Watcher, error) {
-		return platform.NewWatcher(do.MustInvoke[*platform.Store](i), do.MustInvoke[*blackboard.Board](i),
+	do.Provide(i, func(i do.Injector) (*store.Watcher, error) {
+		return store.NewWatcher(do.MustInvoke[*store.Store](i), do.MustInvoke[*blackboard.Board](i),
 			do.MustInvoke[*slog.Logger](i)), nil
 	})
-	do.Provide(i, func(i do.Injector) (*platform.Claims, error) {
-		return platform.NewClaims(do.MustInvoke[platformServices](i).keyValue, do.MustInvoke[*Options](i).Name), nil
+	do.Provide(i, func(i do.Injector) (*store.Claims, error) {
+		return store.NewClaims(do.MustInvoke[*store.KeyValue](i), do.MustInvoke[*Options](i).Name), nil
 	})
 }
 
@@ -110,11 +109,11 @@
 	})
 	do.Provide(i, func(i do.Injector) (*caller.Server, error) {
 		return caller.New(do.MustInvoke[*blackboard.Board](i), do.MustInvoke[*backend.Runner](i),
-			do.MustInvoke[*platform.Claims](i), do.MustInvoke[*suspect.List](i),
+			do.MustInvoke[*store.Claims](i), do.MustInvoke[*suspect.List](i),
 			do.MustInvoke[*monitor.Metrics](i), do.MustInvoke[backend.Policy](i), do.MustInvoke[*slog.Logger](i)), nil
 	})
 	do.Provide(i, func(i do.Injector) (*operator.Server, error) {
-		return operator.New(do.MustInvoke[*blackboard.Board](i), do.MustInvoke[*platform.Store](i),
+		return operator.New(do.MustInvoke[*blackboard.Board](i), do.MustInvoke[*store.Store](i),
 			do.MustInvoke[*slog.Logger](i)), nil
 	})
 }
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -14,6 +14,7 @@
 	cat <<-END
 		name = "instance-$1"
 		data-centre = "$(data_centre "$1")"
+		peers = ["127.0.0.1:18201", "127.0.0.1:18202", "127.0.0.1:18203", "127.0.0.1:18204"]
 
 		[listen]
 		callers = "127.0.0.1:1800$1"
@@ -21,8 +22,8 @@
 		peers = "127.0.0.1:1820$1"
 		monitor = "127.0.0.1:1830$1"
 
-		[platform]
-		address = "127.0.0.1:19000"
+		[store]
+		address = "127.0.0.1:19001"
 
 		[log]
 		level = "${LOG_LEVEL:-info}"
@@ -44,12 +45,10 @@
 start_cluster() {
 	mkdir -p "$RUN"
 	rm -f "$RUN/stop"
-	list=""
 	for i in $INSTANCES; do
 		instance_settings "$i" >"$RUN/instance-$i.toml"
-		list="$list --instance=instance-$i=127.0.0.1:1820$i,$(data_centre "$i")"
 	done
-	bin/lentilstand run "sites/$SITE.toml" --seed "${SEED:-1}" $list >/dev/null 2>"$RUN/stand.log" &
+	bin/lentilstand run "sites/$SITE.toml" --seed "${SEED:-1}" >/dev/null 2>"$RUN/stand.log" &
 	echo $! >"$RUN/stand.pid"
 	for i in $INSTANCES; do
 		keep_instance "$i" >/dev/null 2>&1 &
@@ -59,6 +58,7 @@
 	LENTILWARD_CALLERS=$(printf '127.0.0.1:1800%s\n' $INSTANCES)
 	LENTILWARD_OPERATORS=$(printf '127.0.0.1:1810%s\n' $INSTANCES)
 	wait_for_port 19000
+	wait_for_port 19001
 	for i in $INSTANCES; do
 		wait_for_port 1810$i
 	done
