--- a/lentilload/audit/audit.go
+++ b/lentilload/audit/audit.go
@@ -50,14 +50,21 @@
 	shard   uint32
 }
 
+// versionKey names one version of a service.
+type versionKey struct {
+	service string
+	version uint64
+}
+
 // calls are the ledger entries of one request.
 type calls struct {
 	ran     map[shardKey]int
 	runs    int
 	execute int
 	// first is when the first run began, in microseconds since 1970.
-	first  int64
-	shards map[string]uint32
+	first int64
+	// shards is the number of shards of each version that ran.
+	shards map[versionKey]uint32
 }
 
 // Check audits a run.
@@ -89,7 +96,7 @@
 	for _, e := range ledger {
 		c := byRequest[e.RequestId]
 		if c == nil {
-			c = &calls{ran: make(map[shardKey]int), shards: make(map[string]uint32)}
+			c = &calls{ran: make(map[shardKey]int), shards: make(map[versionKey]uint32)}
 			byRequest[e.RequestId] = c
 		}
 		// What has no end yet may be running.
@@ -105,7 +112,7 @@
 			continue
 		}
 		c.ran[shardKey{e.Service, e.Version, e.Shard}]++
-		c.shards[e.Service] = e.ShardCount
+		c.shards[versionKey{e.Service, e.Version}] = e.ShardCount
 	}
 	return byRequest
 }
--- a/lentilload/audit/audit_test.go
+++ b/lentilload/audit/audit_test.go
@@ -56,6 +56,16 @@
 		e.Records = append(e.Records, &caller.Record{ID: "a", Execute: true, End: caller.Answered})
 		convey.So(Check(e).FalseNotRun, convey.ShouldEqual, 0)
 	})
+	convey.Convey("A request may be pinned anew to a version with other shards", t, func() {
+		e := evidence()
+		for shard := range uint32(shards + 1) {
+			e.Ledger = append(e.Ledger, &standpb.LedgerEntry{
+				RequestId: "a", Service: service, Version: 2, Shard: shard, ShardCount: shards + 1, Result: "ran",
+				DataCentre: "north", StartUs: start.UnixMicro(), InFlight: 1, Bears: 1,
+			})
+		}
+		convey.So(Check(e).FalseCoverage, convey.ShouldEqual, 0)
+	})
 	for name, c := range map[string]struct {
 		spoil func(e *Evidence)
 		count func(f *Findings) int
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,5 +32,20 @@
 	cat KNOWN-RED.txt
 fi
 echo "== test"
+# The race detector itself crashes now and then on package member: see
+# KNOWN-RED.txt. Its tests must pass without the detector, and with it nothing
+# but the crash is passed over.
+member=lentilward.org/lentilward/member
 # shellcheck disable=SC2046
-go test -race -count=1 $(for m in $modules; do echo "./$m/..."; done)
+go test -race -count=1 $(for m in $modules; do go list "./$m/..."; done | grep -vx "$member")
+go test -count=1 "$member"
+log=$(mktemp)
+if go test -race -count=1 "$member" >"$log" 2>&1; then
+	cat "$log"
+elif grep -qE '^--- FAIL|DATA RACE|^panic:' "$log" || ! grep -qE 'ThreadSanitizer: CHECK failed|^SIGSEGV' "$log"; then
+	cat "$log"
+	exit 1
+else
+	echo "known red: the race detector crashed on $member"
+fi
+rm -f "$log"
