--- a/lentilward/scatter/main_test.go
+++ b/lentilward/merge/main_test.go
@@ -1,4 +1,4 @@
-package scatter
+package merge
 
 import (
 	"flag"
--- a/lentilward/scatter/top.go
+++ b/lentilward/merge/top.go
@@ -1,19 +1,20 @@
-package scatter
+// Package merge puts the records of many parts in order.
+package merge
 
 import (
 	"bytes"
 	"slices"
 )
 
-// recordSize is the size of one record, in bytes.
-const recordSize = 16
+// RecordSize is the size of one record, in bytes.
+const RecordSize = 16
 
-type record [recordSize]byte
+type record [RecordSize]byte
 
 func descending(a, b record) int { return bytes.Compare(b[:], a[:]) }
 
-// top keeps the greatest records.
-type top struct {
+// Top keeps the greatest records.
+type Top struct {
 	most    int
 	records []record
 	// floor is the least record that can still be among them, once full.
@@ -21,14 +22,15 @@
 	full  bool
 }
 
-func newTop(most int) *top {
-	return &top{most: most, records: make([]record, 0, 2*most)}
+// NewTop returns an empty set of at most so many records.
+func NewTop(most int) *Top {
+	return &Top{most: most, records: make([]record, 0, 2*most)}
 }
 
-// add takes in the records of a body. A remainder is not a record.
-func (t *top) add(body []byte) {
-	for ; len(body) >= recordSize; body = body[recordSize:] {
-		r := record(body[:recordSize])
+// Add takes in the records of a body. A remainder is not a record.
+func (t *Top) Add(body []byte) {
+	for ; len(body) >= RecordSize; body = body[RecordSize:] {
+		r := record(body[:RecordSize])
 		if t.full && bytes.Compare(r[:], t.floor[:]) <= 0 {
 			continue
 		}
@@ -40,7 +42,7 @@
 }
 
 // shrink drops all but the greatest records.
-func (t *top) shrink() {
+func (t *Top) shrink() {
 	slices.SortFunc(t.records, descending)
 	if t.most > 0 && len(t.records) >= t.most {
 		t.records = t.records[:t.most]
@@ -48,10 +50,10 @@
 	}
 }
 
-// bytes returns the records, the greatest first.
-func (t *top) bytes() []byte {
+// Bytes returns the records, the greatest first.
+func (t *Top) Bytes() []byte {
 	t.shrink()
-	out := make([]byte, 0, len(t.records)*recordSize)
+	out := make([]byte, 0, len(t.records)*RecordSize)
 	for _, r := range t.records[:min(len(t.records), t.most)] {
 		out = append(out, r[:]...)
 	}
--- a/lentilward/scatter/top_test.go
+++ b/lentilward/merge/top_test.go
@@ -1,4 +1,4 @@
-package scatter
+package merge
 
 import (
 	"bytes"
@@ -11,12 +11,12 @@
 func TestTopKeepsTheGreatestRecords(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		most := rapid.IntRange(1, 10).Draw(t, "most")
-		top := newTop(most)
+		top := NewTop(most)
 		var all []record
 		for _, body := range rapid.SliceOfN(rapid.SliceOfN(rapid.ByteRange(0, 3), 0, 200), 0, 12).Draw(t, "bodies") {
-			top.add(body)
-			for ; len(body) >= recordSize; body = body[recordSize:] {
-				all = append(all, record(body[:recordSize]))
+			top.Add(body)
+			for ; len(body) >= RecordSize; body = body[RecordSize:] {
+				all = append(all, record(body[:RecordSize]))
 			}
 		}
 		slices.SortFunc(all, descending)
@@ -24,7 +24,7 @@
 		for _, r := range all[:min(len(all), most)] {
 			want = append(want, r[:]...)
 		}
-		if got := top.bytes(); !bytes.Equal(got, want) {
+		if got := top.Bytes(); !bytes.Equal(got, want) {
 			t.Fatalf("got %x, want %x", got, want)
 		}
 	})
@@ -33,10 +33,10 @@
 func BenchmarkTop(b *testing.B) {
 	body := bytes.Repeat([]byte("0123456789abcdef"), 62)
 	for b.Loop() {
-		top := newTop(50)
+		top := NewTop(50)
 		for range 20 {
-			top.add(body)
+			top.Add(body)
 		}
-		top.bytes()
+		top.Bytes()
 	}
 }
--- a/lentilward/scatter/conclude.go
+++ b/lentilward/scatter/conclude.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"lentilward.org/lentilward/merge"
 	"lentilward.org/schema/domain"
 )
 
@@ -63,16 +64,16 @@
 	if len(r.task.Route.Shards) == 0 {
 		return &domain.Answer{Reply: r.parts[0].reply}
 	}
-	a := &domain.Answer{Receipts: make([]string, 0, r.have)}
-	top := newTop(r.task.Route.Results)
+	a := &domain.Answer{Proofs: make([]string, 0, r.have)}
+	top := merge.NewTop(r.task.Route.Results)
 	merged := make(map[*group]bool)
 	for i := range r.parts {
 		reply, group := r.parts[i].reply, r.parts[i].group
 		if group != nil {
 			if !merged[group] {
 				merged[group] = true
-				a.Receipts = append(a.Receipts, group.receipts...)
-				top.add(group.records)
+				a.Proofs = append(a.Proofs, group.proofs...)
+				top.Add(group.records)
 			}
 			continue
 		}
@@ -80,10 +81,10 @@
 			a.Missing++
 			continue
 		}
-		a.Receipts = append(a.Receipts, reply.Receipt)
-		top.add(reply.Body)
+		a.Proofs = append(a.Proofs, reply.Proof)
+		top.Add(reply.Body)
 	}
-	a.Records = top.bytes()
+	a.Records = top.Bytes()
 	r.stats.Missing = a.Missing
 	return a
 }
@@ -95,7 +96,7 @@
 		return nil
 	}
 	reply := r.parts[0].failure
-	if reply == nil || reply.Receipt == "" || promisesNotRun(reply.Status) {
+	if reply == nil || reply.Proof == "" || promisesNotRun(reply.Status) {
 		return nil
 	}
 	return reply
--- a/lentilward/scatter/delegate.go
+++ b/lentilward/scatter/delegate.go
@@ -19,8 +19,8 @@
 
 // group are parts that a peer has merged.
 type group struct {
-	receipts []string
-	records  []byte
+	proofs  []string
+	records []byte
 }
 
 // news is what a peer told, or the end of what it tells.
@@ -102,7 +102,7 @@
 		return
 	}
 	r.stats.Lost += n.partial.Lost
-	g := &group{receipts: n.partial.Receipts, records: n.partial.Records}
+	g := &group{proofs: n.partial.Proofs, records: n.partial.Records}
 	fresh := 0
 	for _, k := range n.partial.Done {
 		if !r.parts[r.delegated[k]].closed {
@@ -136,7 +136,7 @@
 
 // valid tells whether what a peer told fits what it was asked.
 func (r *run) valid(p Partial) bool {
-	if len(p.Done) != len(p.Receipts) || len(p.Late) != len(p.LateServers) || len(p.Failed) != len(p.FailedServers) {
+	if len(p.Done) != len(p.Proofs) || len(p.Late) != len(p.LateServers) || len(p.Failed) != len(p.FailedServers) {
 		return false
 	}
 	seen := make(map[int]bool)
--- a/lentilward/scatter/delegate_test.go
+++ b/lentilward/scatter/delegate_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lentilward.org/lentilward/balance"
+	"lentilward.org/lentilward/merge"
 	"lentilward.org/schema/domain"
 )
 
@@ -76,15 +77,15 @@
 	if refusal != nil {
 		t.Fatal(refusal)
 	}
-	if a.Missing != 0 || len(a.Receipts) != len(services) || len(a.Records) != len(services)*recordSize {
+	if a.Missing != 0 || len(a.Proofs) != len(services) || len(a.Records) != len(services)*merge.RecordSize {
 		t.Fatalf("answer %+v, stats %+v", a, stats)
 	}
 	seen := make(map[string]bool)
-	for _, receipt := range a.Receipts {
-		if seen[receipt] {
-			t.Fatalf("receipt %s stands twice", receipt)
+	for _, proof := range a.Proofs {
+		if seen[proof] {
+			t.Fatalf("proof %s stands twice", proof)
 		}
-		seen[receipt] = true
+		seen[proof] = true
 	}
 	if took := time.Since(begin); took > 180*time.Millisecond {
 		t.Fatalf("took %v", took)
@@ -173,9 +174,9 @@
 func TestOddPartialsAreNotTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for _, odd := range []Partial{
-			{Done: []int{7}, Receipts: []string{"x"}},
-			{Done: []int{-1}, Receipts: []string{"x"}},
-			{Done: []int{0, 0}, Receipts: []string{"x", "y"}},
+			{Done: []int{7}, Proofs: []string{"x"}},
+			{Done: []int{-1}, Proofs: []string{"x"}},
+			{Done: []int{0, 0}, Proofs: []string{"x", "y"}},
 			{Done: []int{0}},
 			{Late: []int{1}},
 			{Failed: []int{1}},
--- a/lentilward/scatter/fake_test.go
+++ b/lentilward/scatter/fake_test.go
@@ -15,6 +15,7 @@
 
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/conn"
+	"lentilward.org/lentilward/merge"
 	"lentilward.org/platform"
 	"lentilward.org/schema/domain"
 )
@@ -35,9 +36,9 @@
 }
 
 // reply is a whole reply to a request with some records.
-func reply(r *http.Request, receipt, body string) string {
+func reply(r *http.Request, proof, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s",
-		r.Header.Get("Request-Id"), receipt, len(body), body)
+		r.Header.Get("Request-Id"), proof, len(body), body)
 }
 
 // cuts is the number of calls whose connection was gone before the reply.
@@ -62,7 +63,7 @@
 	}
 }
 
-func pad(name string) string { return name + strings.Repeat(".", recordSize-len(name)) }
+func pad(name string) string { return name + strings.Repeat(".", merge.RecordSize-len(name)) }
 
 func (f *fakeServer) dial(context.Context, netip.AddrPort) (net.Conn, error) {
 	if f.refuse {
--- a/lentilward/scatter/gather.go
+++ b/lentilward/scatter/gather.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilward.org/lentilward/balance"
+	"lentilward.org/lentilward/merge"
 	"lentilward.org/schema/domain"
 )
 
@@ -26,10 +27,10 @@
 // their place in Gather.Services.
 type Partial struct {
 	_ struct{} `cbor:",toarray"`
-	// Done are the parts whose records are merged here, with their receipts.
-	Done     []int
-	Receipts []string
-	Records  []byte
+	// Done are the parts whose records are merged here, with their proofs.
+	Done    []int
+	Proofs  []string
+	Records []byte
 	// Late parts may still come, Failed ones do not; Servers tried them, in the
 	// same order.
 	Late          []int
@@ -107,15 +108,15 @@
 // wanted, and what is late if due.
 func (r *run) untold(told []bool, done, late bool) (_ Partial, any bool) {
 	var p Partial
-	top := newTop(r.task.Route.Results)
+	top := merge.NewTop(r.task.Route.Results)
 	for i := range r.parts {
 		x := &r.parts[i]
 		switch {
 		case told[i]:
 		case x.reply != nil && done:
 			p.Done = append(p.Done, i)
-			p.Receipts = append(p.Receipts, x.reply.Receipt)
-			top.add(x.reply.Body)
+			p.Proofs = append(p.Proofs, x.reply.Proof)
+			top.Add(x.reply.Body)
 			told[i] = true
 		case x.closed && x.reply == nil:
 			p.Failed = append(p.Failed, i)
@@ -127,7 +128,7 @@
 		}
 	}
 	if len(p.Done) > 0 {
-		p.Records = top.bytes()
+		p.Records = top.Bytes()
 	}
 	p.Lost, r.stats.Lost = r.stats.Lost, 0
 	return p, len(p.Done)+len(p.Failed)+len(p.Late) > 0
--- a/lentilward/scatter/run_test.go
+++ b/lentilward/scatter/run_test.go
@@ -20,8 +20,8 @@
 		if refusal != nil {
 			t.Fatal(refusal)
 		}
-		if got := string(a.Records); got != pad("c")+pad("b")+pad("a") || a.Missing != 0 || len(a.Receipts) != 3 {
-			t.Fatalf("records %q, missing %d, receipts %v", got, a.Missing, a.Receipts)
+		if got := string(a.Records); got != pad("c")+pad("b")+pad("a") || a.Missing != 0 || len(a.Proofs) != 3 {
+			t.Fatalf("records %q, missing %d, proofs %v", got, a.Missing, a.Proofs)
 		}
 	})
 }
@@ -33,7 +33,7 @@
 		other := &fakeServer{name: "b", answer: quick("b", 20*time.Millisecond)}
 		begin := time.Now()
 		a, stats, refusal := run1(t, newTask(searchRoute(1, 1), shard(t, "s1", paused, other)))
-		if refusal != nil || stats.Hedges != 1 || a.Receipts[0] != "stamp-b" {
+		if refusal != nil || stats.Hedges != 1 || a.Proofs[0] != "stamp-b" {
 			t.Fatalf("refusal %v, stats %+v, answer %+v", refusal, stats, a)
 		}
 		if took := time.Since(begin); took > 150*time.Millisecond {
@@ -94,7 +94,7 @@
 		s := shard(t, "s", down, &fakeServer{name: "full", answer: failing(503, "Not-Executed: 1\r\n")},
 			&fakeServer{name: "good", answer: quick("good", time.Millisecond)})
 		a, stats, refusal := run1(t, newTask(singleRoute(false), s))
-		if refusal != nil || a.Reply.Receipt != "stamp-good" {
+		if refusal != nil || a.Reply.Proof != "stamp-good" {
 			t.Fatalf("refusal %v, stats %+v", refusal, stats)
 		}
 	})
@@ -154,13 +154,13 @@
 	})
 }
 
-// A failure is no part, even with a receipt, and no part counts twice.
+// A failure is no part, even with a proof, and no part counts twice.
 func TestFailureIsNoPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		bad := &fakeServer{name: "a", answer: failing(500, "Server-Stamp: x\r\n")}
 		good := &fakeServer{name: "b", answer: quick("b", 0)}
 		a, _, refusal := run1(t, newTask(searchRoute(1, 1), shard(t, "s1", bad, good)))
-		if refusal != nil || len(a.Receipts) != 1 || a.Receipts[0] != "stamp-b" {
+		if refusal != nil || len(a.Proofs) != 1 || a.Proofs[0] != "stamp-b" {
 			t.Fatalf("refusal %v, answer %+v", refusal, a)
 		}
 	})
--- a/schema/domain/domain.go
+++ b/schema/domain/domain.go
@@ -132,8 +132,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Receipt proves which server ran the request; empty if there is none.
-	Receipt string
+	// Proof shows which server ran the request; empty if there is none.
+	Proof string
 	// RequestID is the request that the server says it answers.
 	RequestID string
 	// NotRun replies state that the request has not run on the server and
@@ -151,7 +151,7 @@
 
 // OK tells whether the server ran the request with success.
 func (r *Reply) OK() bool {
-	return !r.NotRun && r.Receipt != "" && r.Status >= 200 && r.Status < 300
+	return !r.NotRun && r.Proof != "" && r.Status >= 200 && r.Status < 300
 }
 
 // Outcome is what is certain about a request.
@@ -248,8 +248,8 @@
 // replies of several shards.
 type Answer struct {
 	Reply *Reply
-	// Receipts, Missing and Records are those of a search; Reply is nil then.
-	Receipts []string
-	Missing  int
-	Records  []byte
+	// Proofs, Missing and Records are those of a search; Reply is nil then.
+	Proofs  []string
+	Missing int
+	Records []byte
 }
