--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -16,6 +16,9 @@
 
 // Run serves until stop ends, then stops gracefully.
 func (g *Gateway) Run(life, stop context.Context) error {
+	o := g.options.Load()
+	g.log.Info("started", "data-centre", o.DataCentre, "callers", o.Listen.HTTP, "peers", o.Listen.Peers, "seeds", o.Peers,
+		"store", o.Store.Address)
 	callers := g.callers.HTTP()
 	peers := &http.Server{Handler: g.peers.Handler(), ReadHeaderTimeout: headerTimeout}
 	readiness := &http.Server{Handler: http.HandlerFunc(g.readiness), ReadHeaderTimeout: headerTimeout}
--- a/lentilward/main.go
+++ b/lentilward/main.go
@@ -65,7 +65,9 @@
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	level := &slog.LevelVar{}
-	g := newGateway(options, newLog(options, os.Stdout, level), level)
+	out := newLogWriter(os.Stdout)
+	defer out.Close()
+	g := newGateway(options, newLog(options, out, level), level)
 	go watchSettings(life, path, hangup, func() { g.reload(path) })
 	return g.Run(life, stop)
 }
