--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
-PROGRAMS = lentilward lentilctl lentilstand lentilload
+PROGRAMS = lentilward lentilctl lentilstand lentilload lentilsoak
 MODULES = schema $(PROGRAMS)
 SITE ?= trondelag
 NAME ?= steady
 SEED ?= 1
+MINUTES ?= 1
 
-.PHONY: build demo test generate experiment report capacity
+.PHONY: build demo test generate experiment report capacity soak hunt
 
 build:
 	mkdir -p bin
@@ -27,3 +28,10 @@
 
 capacity: build
 	bin/lentilload capacity docs/slopes.toml --document docs/CAPACITY.md
+
+soak: build
+	mkdir -p out/soak-$(SEED)
+	bin/lentilsoak --seed $(SEED) --for $(MINUTES)m --folder out/soak-$(SEED)
+
+hunt:
+	scripts/hunt.sh $(BENCH) $(SITE) $(DAYS)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,7 @@
 # listed in KNOWN-RED.txt is printed and passed over.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-modules="schema platform lentilward lentilctl lentilstand lentilload"
+modules="schema platform lentilward lentilctl lentilstand lentilload lentilsoak"
 
 echo "== gofumpt"
 unformatted=$(cd tools && GOWORK=off go tool gofumpt -l $(for m in $modules; do echo "../$m"; done) | grep -v '\.pb\.go$' || true)
@@ -18,7 +18,7 @@
 done
 echo "== build"
 mkdir -p bin
-for p in lentilward lentilctl lentilstand lentilload; do
+for p in lentilward lentilctl lentilstand lentilload lentilsoak; do
 	go build -o "bin/$p" "./$p"
 done
 echo "== build as deployed"
