Speak the platform's wire from its stand-in, log the soak's faults

Cause: the soak named headers and fields of the platform outside the two places that may. Change: lentilstand/platform writes records and names headers; the soak logs each fault, and excuses a late answer only of an instance that stood still or was killed in that time. Ruled out: the store's faults beside it, which last on after the answers.

--- a/lentilsoak/caller.go
+++ b/lentilsoak/caller.go
@@ -11,11 +11,15 @@
 	"strconv"
 	"strings"
 	"time"
+
+	standin "lentilward.org/lentilstand/platform"
 )
 
 const (
 	// patience is how long a caller waits.
 	patience = 1500 * time.Millisecond
+	// objective is that of both routes.
+	objective = 300 * time.Millisecond
 	// results and leastShare are those of the search route.
 	results    = 6
 	leastShare = 0.6
@@ -45,8 +49,8 @@
 		panic(err)
 	}
 	r.Host = "soak"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Milliseconds", strconv.FormatInt(patience.Milliseconds(), 10))
+	r.Header.Set(standin.RequestID, id)
+	r.Header.Set(standin.TimeLeft, strconv.FormatInt(patience.Milliseconds(), 10))
 	return r
 }
 
@@ -99,8 +103,8 @@
 	default:
 		s.ledger.failed.Add(1)
 	}
-	if took := time.Since(begin); took > patience+time.Second {
-		s.ledger.find("search %s took %v", id, took)
+	if took := time.Since(begin); took > patience+time.Second && !i.harmedSince(begin) {
+		s.ledger.find("search %s to %s took %v, until %s", id, i.name, took, time.Now().Format(time.TimeOnly+".000"))
 	}
 }
 
@@ -117,13 +121,13 @@
 
 // check compares the answer to a search with what its parts have.
 func (s *soak) check(id string, header http.Header, body string) {
-	missing, err := strconv.Atoi(header.Get("Missing-Parts"))
+	missing, err := strconv.Atoi(header.Get(standin.Missing))
 	if err != nil {
-		s.ledger.find("search %s: missing parts %q", id, header.Get("Missing-Parts"))
+		s.ledger.find("search %s: missing parts %q", id, header.Get(standin.Missing))
 		return
 	}
 	var services, all []string
-	for _, proof := range strings.Split(header.Get("Part-Stamps"), ",") {
+	for _, proof := range strings.Split(header.Get(standin.Proofs), ",") {
 		service, request, _ := strings.Cut(strings.TrimSpace(proof), ".")
 		if request != id || slices.Contains(services, service) {
 			s.ledger.find("search %s: proof %q", id, proof)
--- a/lentilsoak/faults.go
+++ b/lentilsoak/faults.go
@@ -1,17 +1,26 @@
 package main
 
 import (
+	"fmt"
 	"syscall"
 	"time"
 )
 
+// kinds name the faults, in the order of their numbers.
+var kinds = []string{
+	"kill", "stop", "freeze", "hangup", "store-down", "store-slow", "store-loses-answers", "store-forgets",
+	"store-cut-off", "server-cut-off", "server-reset", "server-trouble", "configuration", "drain",
+}
+
 // fault brings about one random fault. Each ends by itself.
 func (s *soak) fault() {
 	s.faults++
 	length := time.Duration(500+s.rand.IntN(2500)) * time.Millisecond
 	i := s.instances[s.rand.IntN(len(s.instances))]
 	x := s.servers[s.rand.IntN(len(s.servers))]
-	switch s.rand.IntN(14) {
+	kind := s.rand.IntN(len(kinds))
+	fmt.Fprintf(s.log, "%s %s for %v, instance %s, server %s\n", time.Now().Format(time.TimeOnly+".000"), kinds[kind], length, i.name, x.id)
+	switch kind {
 	case 0:
 		s.restart(i, syscall.SIGKILL, true)
 	case 1:
@@ -86,10 +95,10 @@
 	if x.left.Load() != 0 {
 		return
 	}
-	s.register(x, "draining")
+	s.register(x, true)
 	x.left.Store(time.Now().UnixNano())
 	time.AfterFunc(6*time.Second, func() {
 		x.left.Store(0)
-		s.register(x, "ready")
+		s.register(x, false)
 	})
 }
--- a/lentilsoak/instance.go
+++ b/lentilsoak/instance.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	standin "lentilward.org/lentilstand/platform"
 )
 
 // grace is the time from SIGTERM to the end of an instance.
@@ -109,7 +111,7 @@
 // ready asks what the balancer asks.
 func (i *instance) ready() bool {
 	c := http.Client{Timeout: time.Second}
-	r, err := c.Get("http://" + i.readiness + "/v1/readiness")
+	r, err := c.Get("http://" + i.readiness + standin.Readiness)
 	if err != nil {
 		return false
 	}
--- a/lentilsoak/server.go
+++ b/lentilsoak/server.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	standin "lentilward.org/lentilstand/platform"
 )
 
 const (
@@ -55,9 +57,9 @@
 
 // ServeHTTP runs one request.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
-	if r.Header.Get("Expected-Instance") != s.id {
+	id := r.Header.Get(standin.RequestID)
+	w.Header().Set(standin.RequestID, id)
+	if r.Header.Get(standin.ServerID) != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -66,7 +68,7 @@
 	}
 	trouble := s.trouble.Load()
 	if trouble == shedding && rand.IntN(2) == 0 {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(standin.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -84,7 +86,7 @@
 	if trouble == resetting && rand.IntN(5) == 0 {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Server-Stamp", s.service+"."+id)
+	w.Header().Set(standin.ServerProof, s.service+"."+id)
 	io.WriteString(w, records(s.service, id))
 }
 
--- a/lentilsoak/soak.go
+++ b/lentilsoak/soak.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,10 +37,12 @@
 
 // soak is one run.
 type soak struct {
-	rand      *rand.Rand
-	program   string
-	folder    string
-	ledger    *ledger
+	rand    *rand.Rand
+	program string
+	folder  string
+	ledger  *ledger
+	// log tells of each fault.
+	log       io.Writer
 	store     *standin.Store
 	client    *platform.Store
 	servers   []*server
@@ -58,6 +63,11 @@
 		rand: rand.New(rand.NewPCG(seed, 0)), program: program, folder: folder, ledger: newLedger(),
 		store: standin.New(seed), settings: make(map[*instance]string),
 	}
+	log, err := os.Create(filepath.Join(folder, "faults.log"))
+	if err != nil {
+		return nil, err
+	}
+	s.log = log
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -101,7 +111,7 @@
 func (s *soak) run(until time.Time) {
 	s.configure()
 	for _, x := range s.servers {
-		s.register(x, "ready")
+		s.register(x, false)
 	}
 	var seeds []string
 	for _, i := range s.instances {
@@ -154,27 +164,27 @@
 // configure writes the next version of the configuration.
 func (s *soak) configure() {
 	s.version += 3
-	var services []string
+	c := standin.Configuration{
+		Version: s.version, Host: "soak", SearchPrefix: "/all/", SinglePrefix: "/one/", Single: "s1",
+		Shards: versions[s.version%len(versions)], Results: results, LeastShare: leastShare,
+		Timeout: patience, Objective: objective,
+	}
 	for n := range 8 {
-		services = append(services, fmt.Sprintf(`{"name":"s%d","maxConnections":30}`, n+1))
+		c.Services = append(c.Services, fmt.Sprint("s", n+1))
 	}
-	set := versions[s.version%len(versions)]
-	s.put("op/config", fmt.Sprintf(`{"version":%d,"routes":[
-		{"name":"all","host":"soak","prefix":"/all/","kind":"safe","shards":["%s"],"resultCount":%d,"minSuccessShare":%v,"timeoutMs":1500,"targetLatencyMs":300,"maxAttempts":2},
-		{"name":"one","host":"soak","prefix":"/one/","kind":"unsafe","service":"s1","timeoutMs":1500,"targetLatencyMs":300,"maxAttempts":2}],
-		"services":[%s]}`, s.version, strings.Join(set, `","`), results, leastShare, strings.Join(services, ",")))
+	s.put(standin.ConfigurationKey, c.Record())
 }
 
-func (s *soak) register(x *server, state string) {
-	s.put("servers/"+x.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":3,"state":%q,"coldRemainingMs":0,"sequence":1,"born":1}`,
-		x.service, x.proxy.address, x.zone, state))
+func (s *soak) register(x *server, draining bool) {
+	r := standin.Server{Service: x.service, Address: x.proxy.address, Zone: x.zone, Draining: draining}
+	s.put(standin.ServerKey(x.id), r.Record())
 }
 
 // put writes a key as operators and servers do, until the store takes it.
-func (s *soak) put(key, value string) {
+func (s *soak) put(key string, value []byte) {
 	for range 100 {
 		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
-		_, err := s.client.Commit(ctx, nil, []platform.Write{{Key: key, Value: []byte(value)}}, nil)
+		_, err := s.client.Commit(ctx, nil, []platform.Write{{Key: key, Value: value}}, nil)
 		cancel()
 		if err == nil {
 			return
