Drop an unused field and simplify the choice of delegated parts

Cause: the rate of cold servers was decoded and used nowhere, a loop stood where slices.Contains says it. No behaviour changes.

--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -91,6 +91,7 @@
 }
 
 // Reachable tells whether a server may take a call now or once it has room.
+// Lost servers that it looks at are probed.
 func (s *Service) Reachable(now time.Time) bool {
 	for _, x := range s.Servers() {
 		if !x.Out() && !x.blocked(now) {
--- a/lentilward/scatter/delegate.go
+++ b/lentilward/scatter/delegate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -58,11 +59,9 @@
 		HedgeAfter: r.task.State.HedgeDelay(), TimeLeft: r.end.Sub(now),
 	}
 	for i := range r.parts {
-		for _, d := range far[i] {
-			if d == dataCentre {
-				r.delegated = append(r.delegated, i)
-				g.Services = append(g.Services, r.parts[i].service.Name)
-			}
+		if slices.Contains(far[i], dataCentre) {
+			r.delegated = append(r.delegated, i)
+			g.Services = append(g.Services, r.parts[i].service.Name)
 		}
 	}
 	r.news = make(chan news, 2*len(r.delegated)+2)
--- a/schema/domain/domain.go
+++ b/schema/domain/domain.go
@@ -82,9 +82,6 @@
 	// Connections bounds the connections to each backend server, those of all
 	// instances together.
 	Connections int
-	// ColdRate is the number of requests a second that a cold backend server
-	// bears, those of all instances together; 0 if there is no bound.
-	ColdRate float64
 }
 
 // Limits bound what callers may send.
