Hedge on the own server beside a slow one, borrow budget, free places of overdue calls

An instance has one or two places on a server of 2 slots. A reply that takes 10 times as long held its only place for 150 to 240 ms while the server had a free slot: matcher-09, instance 4, seven requests waited 270 to 390 ms for a server with one call in flight. 2. A service's own budget (0.6 runs a second and instance) was spent when one of its servers turned slow: calls of 300 to 500 ms with no hedge or a late one, while all services together used 1.8% of the 5%. A server that lost one hedge counted as slow for 2 s, so that the other one was waited for even while its calls were overdue.

Change: calls that take 3 times their server's mean do not count towards the limit up to its slots, and make their server count as slow; a hedge goes to the own server if the others are many times slower; half of what a service earns goes to a common purse from which any may borrow up to 4 times its share; a server that was slow proves itself with one call at a time.

--- a/lentilward/backend/attempt.go
+++ b/lentilward/backend/attempt.go
@@ -27,7 +27,7 @@
 	go func() {
 		if !p.cold {
 			reply, err := r.call(ctx, q, t, p.server, number)
-			p.release(err == nil)
+			p.free(err == nil)
 			done <- outcome{p.server, reply, err}
 			return
 		}
--- a/lentilward/backend/place.go
+++ b/lentilward/backend/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
@@ -28,6 +29,30 @@
 	server  *blackboard.Server
 	cold    bool
 	release func(proven bool)
+	phase   atomic.Int32
+}
+
+// Phases of the call on a place.
+const (
+	running int32 = iota
+	// overdue calls take longer than most.
+	overdue
+	ended
+)
+
+// late notes that the call on the place takes longer than most.
+func (p *place) late() {
+	if p.phase.CompareAndSwap(running, overdue) {
+		p.server.Overdue.Add(1)
+	}
+}
+
+// free gives the place back after its call.
+func (p *place) free(proven bool) {
+	if p.phase.Swap(ended) == overdue {
+		p.server.Overdue.Add(-1)
+	}
+	p.release(proven)
 }
 
 // end gives the place back after a call that ended with a classified error. A cold server may still run a call that
@@ -35,10 +60,10 @@
 func (p *place) end(err error) {
 	gaveUp := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 	if p.cold && gaveUp {
-		time.AfterFunc(cancelGrace, func() { p.release(false) })
+		time.AfterFunc(cancelGrace, func() { p.free(false) })
 		return
 	}
-	p.release(err == nil)
+	p.free(err == nil)
 }
 
 // Permit is the answer of the instance that owns a cold server.
--- a/lentilward/backend/runner.go
+++ b/lentilward/backend/runner.go
@@ -17,6 +17,12 @@
 	maxAttempts = 4
 	// freeRetries is the number of retries per shard that cost no budget.
 	freeRetries = 1
+	// overdueFactor is by how much a call takes longer than the mean of its server
+	// if it does not just wait there.
+	overdueFactor = 3
+	// borrowFactor is how many times its own share of extra runs a service may
+	// have from the others, while its servers are slow and theirs are not.
+	borrowFactor = 4
 	// hedgePause is the time until a hedge that the budget did not allow is
 	// tried again.
 	hedgePause = 20 * time.Millisecond
@@ -27,6 +33,8 @@
 	instance string
 	policy   Policy
 	queues   *queue.Set
+	// saved has what services have left of their budgets for others.
+	saved blackboard.Budget
 	// Permit asks the owner of a cold server for a place.
 	Permit func(ctx context.Context, s *blackboard.Server, boot uint64, class blackboard.Class) (Permit, error)
 }
@@ -88,7 +96,9 @@
 	request *Request
 	task    Task
 	tried   []*blackboard.Server
-	done    chan outcome
+	// latest is the place of the call that was started last.
+	latest *place
+	done   chan outcome
 	// hedgePlace hands over the place for a hedge.
 	hedgePlace chan *place
 
@@ -104,9 +114,11 @@
 	if err != nil {
 		return Result{Err: err}
 	}
-	s.task.Routes.State.Budget.Earn(s.task.Routes.Service.HedgeBudget)
+	s.earn()
 	hedge := time.NewTimer(time.Duration(s.task.Routes.State.HedgeDelay.Load()))
 	defer hedge.Stop()
+	late := time.NewTimer(s.lateAfter())
+	defer late.Stop()
 	if s.request.Careful {
 		hedge.Stop()
 	}
@@ -125,7 +137,10 @@
 				return Result{Err: err}
 			}
 		case <-hedge.C:
-			go s.awaitHedge(ctx, s.tried[:1:1])
+			go s.awaitHedge(ctx, s.tried[0])
+		case <-late.C:
+			s.latest.late()
+			s.runner.Wake(s.latest.server)
 		case p := <-s.hedgePlace:
 			if !s.hedge(ctx, p) {
 				hedge.Reset(hedgePause)
@@ -136,6 +151,13 @@
 	}
 }
 
+// lateAfter is how long the first call may take before it counts as overdue:
+// longer than a hedge waits for, if the server has a queue.
+func (s *shardRun) lateAfter() time.Duration {
+	delay := time.Duration(s.task.Routes.State.HedgeDelay.Load())
+	return max(delay, overdueFactor*s.latest.server.Latency())
+}
+
 // attempt waits for a place and starts a call.
 func (s *shardRun) attempt(ctx context.Context) error {
 	holders := s.task.Version.Holders[s.task.Shard]
@@ -149,19 +171,20 @@
 
 func (s *shardRun) start(ctx context.Context, p *place) {
 	s.tried = append(s.tried, p.server)
+	s.latest = p
 	s.inFlight++
 	s.runner.start(ctx, s.request, s.task, p, s.done)
 }
 
-// awaitHedge waits for a place on another holder than the first, in the order
-// of the queue, and hands it on while the task still runs.
-func (s *shardRun) awaitHedge(ctx context.Context, first []*blackboard.Server) {
-	holders := s.task.Version.Holders[s.task.Shard]
+// awaitHedge waits for a place for a second call beside one on the first
+// holder, in the order of the queue, and hands it on while the task still runs.
+func (s *shardRun) awaitHedge(ctx context.Context, first *blackboard.Server) {
 	for ctx.Err() == nil {
-		if _, anyWarm := queue.Usable(holders, first); !anyWarm {
+		holders := queue.Second(s.task.Version.Holders[s.task.Shard], first)
+		if len(holders) == 0 {
 			return
 		}
-		p, err := s.runner.queuedPlace(ctx, s.request, holders, first, s.task.Routes.Service.Name)
+		p, err := s.runner.queuedPlace(ctx, s.request, holders, nil, s.task.Routes.Service.Name)
 		if errors.Is(err, context.DeadlineExceeded) {
 			continue
 		}
@@ -180,11 +203,11 @@
 // hedge starts a second call, if it is still of use. It returns false if the
 // budget does not allow it now.
 func (s *shardRun) hedge(ctx context.Context, p *place) bool {
-	if s.inFlight != 1 || slices.Contains(s.tried, p.server) || p.cold {
+	if s.inFlight != 1 || p.cold || len(s.tried) > 1 && slices.Contains(s.tried, p.server) {
 		p.release(false)
 		return true
 	}
-	if !s.task.Routes.State.Budget.Spend() {
+	if !s.spend() {
 		p.release(false)
 		return false
 	}
@@ -193,13 +216,29 @@
 	return true
 }
 
+// earn adds what a task brings to the budgets: half for its own service, half
+// for any that needs it.
+func (s *shardRun) earn() {
+	share := s.task.Routes.Service.HedgeBudget
+	state := s.task.Routes.State
+	state.Budget.Earn(share / 2)
+	s.runner.saved.Earn(share / 2)
+	state.Borrow.Earn(borrowFactor * share)
+}
+
+// spend pays for one extra run, from what others have saved if need be.
+func (s *shardRun) spend() bool {
+	state := s.task.Routes.State
+	return state.Budget.Spend() || s.runner.saved.Available() && state.Borrow.Spend() && s.runner.saved.Spend()
+}
+
 // retry starts another call after all others have failed.
 func (s *shardRun) retry(ctx context.Context) error {
 	n := len(s.tried)
 	if n >= maxAttempts || errors.Is(s.lastErr, domain.ErrLost) && !s.request.mayRepeatLost() {
 		return s.lastErr
 	}
-	if n > freeRetries && !errors.Is(s.lastErr, domain.ErrRefused) && !s.task.Routes.State.Budget.Spend() {
+	if n > freeRetries && !errors.Is(s.lastErr, domain.ErrRefused) && !s.spend() {
 		return s.lastErr
 	}
 	if err := s.attempt(ctx); err != nil {
--- a/lentilward/blackboard/server.go
+++ b/lentilward/blackboard/server.go
@@ -37,6 +37,8 @@
 	InFlight atomic.Int32
 	// Limit bounds InFlight.
 	Limit atomic.Int32
+	// Overdue counts the calls in flight that take longer than most.
+	Overdue atomic.Int32
 	// OutOfService is set while the server may get no new work: withdrawn,
 	// draining or removed.
 	OutOfService atomic.Bool
@@ -117,11 +119,16 @@
 // only urgent requests take, so that they do not wait for others to end.
 const urgentReserve = 1
 
-// TryAcquire takes one place within the limit for a class.
+// TryAcquire takes one place within the limit for a class. A call that is
+// overdue holds up one slot and says nothing about the others, so up to the
+// slots it does not count.
 func (s *Server) TryAcquire(c Class) bool {
 	limit := s.Limit.Load()
-	if c == Urgent && s.Warm() {
-		limit += urgentReserve
+	if s.Warm() {
+		limit = max(limit, min(limit+s.Overdue.Load(), s.Slots.Load()))
+		if c == Urgent {
+			limit += urgentReserve
+		}
 	}
 	for {
 		n := s.InFlight.Load()
--- a/lentilward/blackboard/state.go
+++ b/lentilward/blackboard/state.go
@@ -31,6 +31,8 @@
 	Typical atomic.Int64
 	// Budget pays for hedges and retries.
 	Budget Budget
+	// Borrow bounds the extra runs that other services pay for.
+	Borrow Budget
 	// InFlight counts searches by limit, in the order of Service.Limits.
 	InFlight []atomic.Int32
 }
@@ -112,6 +114,9 @@
 	}
 }
 
+// Available tells whether there is enough for one extra run.
+func (b *Budget) Available() bool { return b.tokens.Load() >= budgetUnit }
+
 // Spend pays for one extra run, if there is enough.
 func (b *Budget) Spend() bool {
 	for {
--- a/lentilward/queue/chooser.go
+++ b/lentilward/queue/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"lentilward.org/lentilward/blackboard"
 )
@@ -14,6 +15,13 @@
 	// slowFactor is how many times as long as the fastest holder a server may
 	// take and still get work.
 	slowFactor = 4
+	// doubtFactor is how many times as long as the fastest holder a server may
+	// take and still get more than one call at a time: one that was slow proves
+	// itself first.
+	doubtFactor = 2
+	// overdueFactor is how much longer than before calls are taken to last on a
+	// server with one that takes longer than most: it counts as slow.
+	overdueFactor = slowFactor + 1
 	// unknownLatency stands for a server without replies, in nanoseconds.
 	unknownLatency = 1e6
 )
@@ -47,18 +55,40 @@
 	if len(candidates) < 2 {
 		return candidates
 	}
-	fastest := candidates[0].Latency()
+	fastest := expected(candidates[0])
 	for _, s := range candidates {
-		fastest = min(fastest, s.Latency())
+		fastest = min(fastest, expected(s))
 	}
 	if fastest == 0 {
 		return candidates
 	}
 	return slices.DeleteFunc(candidates, func(s *blackboard.Server) bool {
-		return s.Warm() && s.Latency() > slowFactor*fastest
+		return s.Warm() && (expected(s) > slowFactor*fastest || expected(s) > doubtFactor*fastest && s.InFlight.Load() > 0)
 	})
 }
 
+// Second returns the holders for a second call beside one that takes long on the
+// first: the others, or the first one again if they are all many times slower
+// even so. None are cold.
+func Second(holders []*blackboard.Server, first *blackboard.Server) []*blackboard.Server {
+	slow := slowFactor * overdueFactor * first.Latency()
+	var fast []*blackboard.Server
+	anyOther := false
+	for _, s := range holders {
+		if s == first || !s.Usable() || !s.Warm() {
+			continue
+		}
+		anyOther = true
+		if slow == 0 || expected(s) <= slow {
+			fast = append(fast, s)
+		}
+	}
+	if anyOther && len(fast) == 0 && first.Usable() && first.Warm() {
+		return []*blackboard.Server{first}
+	}
+	return fast
+}
+
 // admits tells whether this instance decides alone about work for the server.
 func admits(s *blackboard.Server) bool {
 	return s.Usable() && (s.Warm() || s.Owned())
@@ -83,7 +113,7 @@
 // score is the time that one more request would take, with a little noise so
 // that instances do not all choose the same server.
 func score(s *blackboard.Server) float64 {
-	latency := float64(s.Latency())
+	latency := float64(expected(s))
 	if latency == 0 {
 		latency = unknownLatency
 	}
@@ -91,6 +121,15 @@
 	return float64(s.InFlight.Load()+1) * latency * (1 + noise*rand.Float64())
 }
 
+// expected is how long a call takes, as far as earlier ones and those in flight
+// tell; 0 if it is not known.
+func expected(s *blackboard.Server) time.Duration {
+	if s.Overdue.Load() > 0 {
+		return overdueFactor * s.Latency()
+	}
+	return s.Latency()
+}
+
 // Usable tells whether any holder not tried yet could take work, and whether a
 // warm one could.
 func Usable(holders, tried []*blackboard.Server) (anyUsable, anyWarm bool) {
--- a/lentilward/queue/chooser_test.go
+++ b/lentilward/queue/chooser_test.go
@@ -32,3 +32,23 @@
 		t.Error("did not take the slow server though no other is left")
 	}
 }
+
+// A server that was slow is not avoided in favour of one whose call in flight
+// takes longer than most.
+func TestOverdueCallsMakeAServerSlow(t *testing.T) {
+	fast, slow := server(10*time.Millisecond, 2), server(90*time.Millisecond, 2)
+	holders := []*blackboard.Server{slow, fast}
+	for range 2 {
+		if got := TryAcquire(holders, nil, blackboard.Interactive); got != fast {
+			t.Fatal("did not choose the fast server")
+		}
+	}
+	fast.Overdue.Add(1)
+	if got := TryAcquire(holders, nil, blackboard.Interactive); got != slow {
+		t.Error("waits for a server with an overdue call")
+	}
+	fast.Overdue.Add(-1)
+	if got := TryAcquire(holders, nil, blackboard.Interactive); got != nil {
+		t.Error("spilled over to the slow server")
+	}
+}
