Model a fleet of whole instances, and mend three faults that it found

Cause, each found by the model (whole gateways in one bubble, the store's stand-in in the process, peers joined directly; cuts, freezes, restarts, refusals of the store, lost answers, compaction, added machines): 1. An instance that restarted while it reached the store but no peer took the whole slack of the repeats after 10 s, while the others went on spending theirs: 81 repeats in a window that allowed 76. 2. A process that restarts spent slack again after a linear ramp of a window, while the one before it had spent its part just before: 70 repeats of 69.8 with two instances, twice the slack after all are killed. 3. A process that starts knew no harmful request unless its first records came from a peer.

Ruled out: members that were lost count for a minute, which suffices; a longer ramp, which only moves the overlap.

Change: addresses at which an instance should be but none was met count in the share; a process has no slack for its first window; a process asks the first peer it meets for harmful requests, and records from peers bring them too. The gateway takes its store client, so that the model can give it one without sockets.

The race detector crashes on these bubbles as on package member: the script now names them, runs them without it as well, and passes over the crash only. A fleet that restarts as a whole still forgets harmful requests.

--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -72,6 +72,9 @@
 	// helperPart is the least part of the most parts that a helper's data centre
 	// has.
 	helperPart = 0.7
+	// introducePeriod is the time between two looks for a peer to learn from after
+	// the start.
+	introducePeriod = 200 * time.Millisecond
 	// enlistPeriod is the time between two looks at whether to be listed.
 	enlistPeriod = 2 * time.Second
 	// storeConnections is the number of idle connections to the store that are
@@ -83,8 +86,6 @@
 	// meetTime is how long after the start the number of seeds stands for that
 	// of the instances.
 	meetTime = 5 * time.Second
-	// shareRamp is how long a process that has just started spends less.
-	shareRamp = 10 * time.Second
 	// memoryPart is the part of the memory of the machine that the heap uses.
 	memoryPart = 0.7
 )
--- a/lentilward/fleet_size.go
+++ b/lentilward/fleet_size.go
@@ -12,10 +12,12 @@
 	began time.Time
 	// first is the size that is believed while peers are still to be met.
 	first int
+	// window is the time in which limits count.
+	window func() time.Duration
 }
 
-func newFleetSize(board *blackboard.Board, first int) *fleetSize {
-	return &fleetSize{board: board, began: time.Now(), first: first}
+func newFleetSize(board *blackboard.Board, first int, window func() time.Duration) *fleetSize {
+	return &fleetSize{board: board, began: time.Now(), first: first, window: window}
 }
 
 // size returns the number of instances, those included that were lost lately.
@@ -34,8 +36,11 @@
 }
 
 // share returns this instance's part of what all may spend. A process that has
-// just started does not know what the one before it has spent.
+// just started has none for a window, since the one before it may have spent it
+// all; and instances that were never met may spend theirs.
 func (f *fleetSize) share() float64 {
-	ramp := min(1, float64(time.Since(f.began))/float64(shareRamp))
-	return ramp / float64(f.size())
+	if time.Since(f.began) < f.window() {
+		return 0
+	}
+	return 1 / float64(f.size()+f.board.Members.Load().Unmet)
 }
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -60,19 +60,21 @@
 	engine    *scatter.Engine
 	metrics   *monitor.Metrics
 	fleet     *fleetSize
+	// records asks a peer for what is newer than a revision.
+	records func(ctx context.Context, peer netip.AddrPort, since uint64) (peer.Knowledge, error)
 	// fetching is set while a peer is asked for its records.
 	fetching atomic.Bool
 }
 
 // newGateway makes the components and joins their function fields.
-func newGateway(o *Options, log *slog.Logger, level *slog.LevelVar) *Gateway {
+func newGateway(o *Options, store *platform.Store, log *slog.Logger, level *slog.LevelVar) *Gateway {
 	g := &Gateway{
 		log: log, level: level, mirror: mirror.New(), metrics: monitor.NewMetrics(),
 		board: blackboard.New(blackboard.Own{Name: o.Name, DataCentre: o.DataCentre}),
 	}
 	g.options.Store(o)
 	g.follower = mirror.NewFollower(g.mirror, log)
-	g.joinStore()
+	g.joinStore(store)
 	g.joinPeers()
 	g.joinDirectory()
 	g.joinCallers()
@@ -97,8 +99,7 @@
 }
 
 // joinStore connects the follower and the enlister with the store.
-func (g *Gateway) joinStore() {
-	store := newStoreClient(g.options.Load().Store.Address)
+func (g *Gateway) joinStore(store *platform.Store) {
 	g.follower.List = func(ctx context.Context, after string) (*mirror.Page, error) {
 		return asPage(store.Range(ctx, "", after))
 	}
@@ -153,6 +154,7 @@
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	g.links = peer.NewLinks(traffic)
+	g.records = g.links.Records
 	g.peers = peer.NewServer(g.board, peer.NewPermits(g.board), traffic, g.log)
 	g.table = member.NewTable(g.board, self, time.Now)
 	g.table.Revision = g.mirror.Revision
@@ -177,12 +179,12 @@
 		go g.links.TellSuspects(context.WithoutCancel(ctx), g.others(), s)
 	}
 	g.peers.Suspects = g.suspects.Merge
-	g.peers.Records = func(since uint64) mirror.Delta {
+	g.peers.Records = func(since uint64) peer.Knowledge {
 		delta := g.mirror.Since(since)
 		delta.Age = g.follower.Age()
-		return delta
+		return peer.Knowledge{Delta: delta, Suspects: g.suspects.All()}
 	}
-	g.fleet = newFleetSize(g.board, len(g.options.Load().Peers)+1)
+	g.fleet = newFleetSize(g.board, len(g.options.Load().Peers)+1, func() time.Duration { return time.Duration(g.options.Load().Repeats.Window) })
 	g.metrics.Gauge("lentilward_peer_sent_bytes", "Bytes sent to peers.",
 		func() float64 { return float64(traffic.Sent.Load()) })
 	g.metrics.Gauge("lentilward_instances", "Instances that share limits.",
@@ -217,7 +219,7 @@
 	ctx, cancel := context.WithTimeout(ctx, firstContact)
 	defer cancel()
 	since := g.mirror.Revision()
-	delta, err := g.links.Records(ctx, address, since)
+	delta, err := g.records(ctx, address, since)
 	if err != nil {
 		g.log.Info("cannot read the records of a peer", "peer", address, "error", err)
 		return
@@ -225,6 +227,29 @@
 	g.log.Debug("records from a peer", "peer", address, "since", since, "revision", delta.Revision, "records", len(delta.Records))
 	g.mirror.Apply(delta.Records, delta.Revision)
 	g.follower.Told(delta.Age)
+	g.suspects.Merge(delta.Suspects)
+}
+
+// introduce asks the first peer that is met for what peers tell only once: the
+// requests that backend servers were lost with before this process began.
+func (g *Gateway) introduce(ctx context.Context) {
+	for {
+		for _, m := range g.others() {
+			call, cancel := context.WithTimeout(ctx, firstContact)
+			known, err := g.records(call, m.Address, g.mirror.Revision())
+			cancel()
+			if err == nil {
+				g.suspects.Merge(known.Suspects)
+				g.log.Info("introduced", "peer", m.Name, "suspects", len(known.Suspects))
+				return
+			}
+		}
+		select {
+		case <-time.After(introducePeriod):
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // joinDirectory connects the directory with the mirror.
--- a/lentilward/gateway_test.go
+++ b/lentilward/gateway_test.go
@@ -94,7 +94,7 @@
 	o.Stop.Grace = duration(time.Second)
 	life, end := context.WithCancel(context.Background())
 	stopping, begin := context.WithCancel(context.Background())
-	g := newGateway(o, slog.New(slog.NewTextHandler(io.Discard, nil)), &slog.LevelVar{})
+	g := newGateway(o, newStoreClient(o.Store.Address), slog.New(slog.NewTextHandler(io.Discard, nil)), &slog.LevelVar{})
 	done := make(chan error, 1)
 	go func() { done <- g.Run(life, stopping) }()
 	var ended bool
--- a/lentilward/main.go
+++ b/lentilward/main.go
@@ -67,7 +67,7 @@
 	level := &slog.LevelVar{}
 	out := newLogWriter(os.Stdout)
 	defer out.Close()
-	g := newGateway(options, newLog(options, out, level), level)
+	g := newGateway(options, newStoreClient(options.Store.Address), newLog(options, out, level), level)
 	go watchSettings(life, path, hangup, func() { g.reload(path) })
 	return g.Run(life, stop)
 }
--- a/lentilward/peer/calls.go
+++ b/lentilward/peer/calls.go
@@ -8,7 +8,6 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
-	"lentilward.org/lentilward/mirror"
 )
 
 // suspectTimeout bounds how long a request waits until its peers know of a
@@ -38,11 +37,11 @@
 	return &d, nil
 }
 
-// Records asks a peer for the records that are newer than a revision.
-func (l *Links) Records(ctx context.Context, address netip.AddrPort, since uint64) (mirror.Delta, error) {
-	var d mirror.Delta
-	err := l.call(ctx, address, kindRecords, recordsBody{Since: since}, &d)
-	return d, err
+// Records asks a peer for what is newer than a revision.
+func (l *Links) Records(ctx context.Context, address netip.AddrPort, since uint64) (Knowledge, error) {
+	var known Knowledge
+	err := l.call(ctx, address, kindRecords, recordsBody{Since: since}, &known)
+	return known, err
 }
 
 // TellSuspects tells peers of suspects and waits a short time until all know.
--- a/lentilward/peer/frame.go
+++ b/lentilward/peer/frame.go
@@ -11,6 +11,7 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
+	"lentilward.org/lentilward/mirror"
 )
 
 // maxFrame is the size of the largest frame, in bytes.
@@ -51,8 +52,14 @@
 	Have uint64 `cbor:"have"`
 }
 
-// recordsBody asks for the records that are newer than a revision; the reply is
-// a mirror.Delta.
+// Knowledge is what a peer knows beyond a revision, and the requests that backend
+// servers were lost with.
+type Knowledge struct {
+	mirror.Delta
+	Suspects []blackboard.Suspect `cbor:"suspects,omitempty"`
+}
+
+// recordsBody asks for what is newer than a revision; the reply is Knowledge.
 type recordsBody struct {
 	Since uint64 `cbor:"since"`
 }
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -13,7 +13,6 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
-	"lentilward.org/lentilward/mirror"
 	"lentilward.org/lentilward/scatter"
 )
 
@@ -33,8 +32,8 @@
 	Probe func(ctx context.Context, target netip.AddrPort) error
 	// Suspects takes in what peers tell of queries.
 	Suspects func([]blackboard.Suspect)
-	// Records returns the records that are newer than a revision.
-	Records func(since uint64) mirror.Delta
+	// Records returns what is newer than a revision.
+	Records func(since uint64) Knowledge
 	// Gather runs part of a search for a peer.
 	Gather func(ctx context.Context, g scatter.Gather, emit func(scatter.Partial))
 }
@@ -43,7 +42,7 @@
 func NewServer(board *blackboard.Board, permits *Permits, traffic *Traffic, log *slog.Logger) *Server {
 	return &Server{
 		board: board, permits: permits, traffic: traffic, log: log,
-		Records: func(uint64) mirror.Delta { return mirror.Delta{} },
+		Records: func(uint64) Knowledge { return Knowledge{} },
 		Gather:  func(context.Context, scatter.Gather, func(scatter.Partial)) {},
 	}
 }
--- a/lentilward/reload_test.go
+++ b/lentilward/reload_test.go
@@ -38,7 +38,7 @@
 		t.Fatal(err)
 	}
 	level := &slog.LevelVar{}
-	return newGateway(o, slog.New(slog.NewTextHandler(io.Discard, nil)), level), path
+	return newGateway(o, newStoreClient(o.Store.Address), slog.New(slog.NewTextHandler(io.Discard, nil)), level), path
 }
 
 func write(t *testing.T, path, text string) {
@@ -100,13 +100,20 @@
 	})
 }
 
-func TestFleetSizeRampsUp(t *testing.T) {
+// A process that has just started spends nothing of the slack for a window: the
+// one before it may have spent all of its part.
+func TestNewProcessSpendsNoSlack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, _ := newTestGateway(t)
 		if g.fleet.size() != 3 || g.fleet.share() > 0 {
 			t.Fatalf("size %d, share %v at the start", g.fleet.size(), g.fleet.share())
 		}
-		time.Sleep(shareRamp)
+		window := time.Duration(g.options.Load().Repeats.Window)
+		time.Sleep(window - time.Millisecond)
+		if g.fleet.share() > 0 {
+			t.Fatalf("share %v before a window has passed", g.fleet.share())
+		}
+		time.Sleep(time.Millisecond)
 		if g.fleet.size() != 1 || g.fleet.share() != 1 {
 			t.Fatalf("size %d, share %v alone", g.fleet.size(), g.fleet.share())
 		}
--- a/lentilward/script_test.go
+++ b/lentilward/script_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"flag"
 	"net"
 	"net/http"
 	"os"
@@ -15,7 +16,13 @@
 // portWait bounds the wait for a program to listen.
 const portWait = 20 * time.Second
 
+// fixedSeed makes every run draw the same cases; -rapid.seed draws others.
+const fixedSeed = "20261204"
+
 func TestMain(m *testing.M) {
+	if err := flag.Lookup("rapid.seed").Value.Set(fixedSeed); err != nil {
+		panic(err)
+	}
 	testscript.Main(m, map[string]func(){"lentilward": main})
 }
 
--- a/lentilward/suspect/suspect.go
+++ b/lentilward/suspect/suspect.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,11 @@
 	s.Tell(ctx, []blackboard.Suspect{x})
 }
 
+// All returns the suspects known.
+func (s *List) All() []blackboard.Suspect {
+	return slices.Collect(maps.Values(s.board.Suspects.Load().ByFingerprint))
+}
+
 // Merge takes in suspects that a peer told of.
 func (s *List) Merge(suspects []blackboard.Suspect) {
 	s.mu.Lock()
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,20 +32,34 @@
 	cat KNOWN-RED.txt
 fi
 echo "== test"
-# The race detector itself crashes now and then on package member: see
-# KNOWN-RED.txt. Its tests must pass without the detector, and with it nothing
-# but the crash is passed over.
-member=lentilward.org/lentilward/member
+# Go's race detector itself crashes now and then where timers of a bubble come
+# due in a select: see KNOWN-RED.txt. Tests that keep many instances in a bubble
+# must pass without it, and with it nothing but the crash is passed over.
+main=lentilward.org/lentilward
+bubbles="$main/member $main/fleet"
+model='^(TestFleetKeepsItsBounds|TestLoneInstanceLeavesTheAllowanceToOthers|TestNewInstanceLearnsOfHarmfulRequests)$'
+
+race_or_crash() { # arguments of go test
+	local log
+	log=$(mktemp)
+	if go test -race -count=1 "$@" >"$log" 2>&1; then
+		cat "$log"
+	elif grep -qE '^--- FAIL|DATA RACE|^panic:' "$log" || ! grep -qE 'ThreadSanitizer: CHECK failed|^SIGSEGV' "$log"; then
+		cat "$log"
+		rm -f "$log"
+		return 1
+	else
+		echo "known red: the race detector crashed on go test -race $*"
+	fi
+	rm -f "$log"
+}
+
 # shellcheck disable=SC2046
-go test -race -count=1 $(for m in $modules; do go list "./$m/..."; done | grep -vx "$member")
-go test -count=1 "$member"
-log=$(mktemp)
-if go test -race -count=1 "$member" >"$log" 2>&1; then
-	cat "$log"
-elif grep -qE '^--- FAIL|DATA RACE|^panic:' "$log" || ! grep -qE 'ThreadSanitizer: CHECK failed|^SIGSEGV' "$log"; then
-	cat "$log"
-	exit 1
-else
-	echo "known red: the race detector crashed on $member"
-fi
-rm -f "$log"
+go test -race -count=1 $(for m in $modules; do go list "./$m/..."; done | grep -vxF -e "$main" $(printf -- '-e %s ' $bubbles))
+go test -race -count=1 -skip "$model" "$main"
+# shellcheck disable=SC2086
+go test -count=1 "$main" $bubbles
+race_or_crash -run "$model" "$main"
+for package in $bubbles; do
+	race_or_crash "$package"
+done
