--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -72,6 +72,9 @@
 	Instances func() int
 	// Troubled returns how long ago a call to the store last failed.
 	Troubled func() time.Duration
+	// Age returns how long ago the records were last known to be current, by the
+	// store or by peers.
+	Age func() time.Duration
 	// Listed returns how long ago the last whole reading of the store began, and
 	// Relist asks for one. Reading tells whether this instance reads the store.
 	Listed  func() time.Duration
@@ -318,7 +321,8 @@
 }
 
 // confirmed tells whether a record that ended with a lapse is known to be
-// missing still. While the store cannot be read the server's own answers decide.
+// missing still. While neither the store nor peers tell, the server's own answers
+// decide.
 func (d *Directory) confirmed(t *tracked, now time.Time) bool {
 	if !t.lapsed || d.readAt.After(t.goneAt) {
 		return true
@@ -327,7 +331,8 @@
 		return now.Sub(t.goneAt) > confirmWait
 	}
 	d.Relist()
-	return false
+	// One that the store does not answer goes by its peers, as others do.
+	return now.Add(-d.Age()).Sub(t.goneAt) > confirmWait
 }
 
 func (d *Directory) nextGone() time.Time {
--- a/lentilward/directory/directory_test.go
+++ b/lentilward/directory/directory_test.go
@@ -24,6 +24,8 @@
 	d        *Directory
 	revision uint64
 	troubled atomic.Int64
+	// age is how old the records are.
+	age atomic.Int64
 	// listed is when the store was last read as a whole, by an instance that
 	// reads it.
 	listed  atomic.Pointer[time.Time]
@@ -41,6 +43,7 @@
 func newBed(t *testing.T) *bed {
 	b := &bed{t: t}
 	b.troubled.Store(int64(time.Hour))
+	b.age.Store(int64(time.Hour))
 	b.listed.Store(&time.Time{})
 	b.d = New(Records{
 		ConfigurationKey: platform.ConfigurationKey, ServerPrefix: platform.ServerPrefix,
@@ -50,6 +53,8 @@
 	b.d.Instances = func() int { return 3 }
 	b.readers.Store(true)
 	b.d.Listed = func() time.Duration { return time.Since(*b.listed.Load()) }
+
+	b.d.Age = func() time.Duration { return time.Duration(b.age.Load()) }
 	b.d.Relist = func() {}
 	b.d.Reading = func() bool { return b.readers.Load() }
 	b.d.Troubled = func() time.Duration { return time.Duration(b.troubled.Load()) }
@@ -220,6 +225,22 @@
 	})
 }
 
+// An instance that should read the store but is not answered goes by what peers
+// know to be current.
+func TestLapseWhileCutOffFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		b.put(server("i-1", nil))
+		b.troubled.Store(int64(time.Second))
+		b.put(mirror.Record{Key: "servers/i-1", Deleted: true})
+		time.Sleep(lapseWait + confirmWait + time.Second)
+		b.want(1, "nobody vouches for the records")
+		b.age.Store(int64(500 * time.Millisecond))
+		time.Sleep(time.Second)
+		b.want(0, "peers know them to be current")
+	})
+}
+
 // Many records that end at once are a lapse, though this instance saw no
 // trouble.
 func TestMassLapse(t *testing.T) {
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -260,7 +260,7 @@
 		Server: platform.DecodeServer, Instance: platform.DecodeInstance, Withdrawn: platform.Withdrawn,
 	}, g.log)
 	g.directory.Instances = g.fleet.size
-	g.directory.Troubled = g.follower.Troubled
+	g.directory.Troubled, g.directory.Age = g.follower.Troubled, g.follower.Age
 	g.directory.Listed, g.directory.Relist, g.directory.Reading = g.follower.Listed, g.follower.Relist, g.reads
 	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
 		return balance.NewServer(b, conn.NewPool(b.Address), b.DataCentre != g.options.Load().DataCentre)
--- a/lentilward/scatter/conclude.go
+++ b/lentilward/scatter/conclude.go
@@ -79,6 +79,9 @@
 		}
 		if reply == nil {
 			a.Missing++
+			if len(r.stats.Without) < maxNamed {
+				r.stats.Without = append(r.stats.Without, r.parts[i].lack())
+			}
 			continue
 		}
 		a.Proofs = append(a.Proofs, reply.Proof)
@@ -89,6 +92,25 @@
 	return a
 }
 
+// maxNamed bounds the missing services that are named.
+const maxNamed = 3
+
+// lack tells why a part is missing.
+func (p *part) lack() string {
+	why := "nothing tried"
+	switch {
+	case p.closed:
+		why = "failed"
+	case p.waiter != nil:
+		why = "no room"
+	case len(p.calls) > 0:
+		why = "no reply yet"
+	case p.helped:
+		why = "at a peer"
+	}
+	return fmt.Sprintf("%s: %s after %d calls", p.service.Name, why, p.started)
+}
+
 // passOn returns a server's failure that the caller gets as it is. A status
 // that promises that the request has not run is not passed on.
 func (r *run) passOn() *domain.Reply {
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -69,6 +69,8 @@
 // Stats are what it took to answer a request.
 type Stats struct {
 	Calls, Hedges, Repeats, Missing int
+	// Without names a few of the services that are missing, and why.
+	Without []string
 	// Lost is the number of calls whose connection ended without a reply.
 	Lost int
 	// Delegated is the number of parts that a peer gathered.
--- a/lentilward/scatter/run_test.go
+++ b/lentilward/scatter/run_test.go
@@ -77,7 +77,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		good := &fakeServer{name: "a", answer: quick("a", time.Millisecond)}
 		begin := time.Now()
-		a, _, refusal := run1(t, newTask(searchRoute(2, 0.5), shard(t, "s1", good), shard(t, "s2")))
+		a, stats, refusal := run1(t, newTask(searchRoute(2, 0.5), shard(t, "s1", good), shard(t, "s2")))
+		if len(stats.Without) != 1 || stats.Without[0] != "s2: failed after 0 calls" {
+			t.Errorf("missing services are told as %q", stats.Without)
+		}
 		if refusal != nil || a.Missing != 1 || time.Since(begin) > 10*time.Millisecond {
 			t.Fatalf("refusal %v, answer %+v after %v", refusal, a, time.Since(begin))
 		}
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -131,6 +131,9 @@
 		"hedges", end.Stats.Hedges, "repeats", end.Stats.Repeats, "waited", end.Stats.Waited, "delegated", end.Stats.Delegated,
 		"missing", end.Stats.Missing,
 	}
+	if len(end.Stats.Without) > 0 {
+		attributes = append(attributes, "without", end.Stats.Without)
+	}
 	if end.Refusal != nil {
 		attributes = append(attributes, "reason", end.Refusal.Reason, "outcome", end.Refusal.Outcome,
 			"retry-after", end.Refusal.RetryAfter, "message", end.Refusal.Message)
--- a/scripts/hunt.sh
+++ b/scripts/hunt.sh
@@ -10,7 +10,7 @@
 folder=out/hunt-$(basename "$site" .toml)-$(git rev-parse --short HEAD)
 mkdir -p "$folder"
 "$bench" hunt "$site" --days "$days" --jobs 3 --why "hunt of $days days" >"$folder/hunt.txt" 2>&1 || true
-grep -E 'BROKEN' "$folder/hunt.txt" | while read -r name rest; do
+{ grep -E "BROKEN" "$folder/hunt.txt" || true; } | while read -r name rest; do
 	seed=$(sed -n 's/^--seed \([0-9]*\).*/\1/p' <<<"$rest")
 	rule=$(sed -n 's/.*BROKEN: \([A-Z]*\).*/\1/p' <<<"$rest")
 	"$bench" replay "$site" "$name${seed:+ --seed $seed}" --log all --why "logs of a broken day" >"$folder/$rule-$name-$seed.txt" 2>&1 || true
