--- a/lentilward/blackboard/members.go
+++ b/lentilward/blackboard/members.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
 // MemberState is what an instance believes of another.
@@ -66,6 +67,11 @@
 	return Member{}, false
 }
 
+// Others returns the other members that are alive.
+func (m *Members) Others() []Member {
+	return lo.Filter(m.List, func(x Member, _ int) bool { return x.Name != m.Self && x.State == Alive })
+}
+
 // Live returns the number of members that take work.
 func (m *Members) Live() int {
 	n := 0
--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -109,7 +109,7 @@
 	c.prober.Seeds = c.seeds
 	c.prober.Newer = c.fetch
 	began := time.Now()
-	c.prober.Eager = func() bool { return len(c.others()) == 0 && time.Since(began) < meetTime }
+	c.prober.Eager = func() bool { return len(c.board.Members.Load().Others()) == 0 && time.Since(began) < meetTime }
 	c.peers.Ping = func(ctx context.Context, g member.Gossip) member.Gossip {
 		c.prober.Heard(context.WithoutCancel(ctx), g)
 		return c.table.Answer(g.From.Name)
@@ -119,8 +119,9 @@
 		return err
 	}
 	c.peers.Suspects = c.suspects.Merge
+	c.peers.Records = func(uint64) peer.Knowledge { return peer.Knowledge{Suspects: c.suspects.All()} }
 	c.suspects.Tell = func(ctx context.Context, s []blackboard.Suspect) {
-		c.links.TellSuspects(ctx, c.others(), s)
+		c.links.TellSuspects(ctx, c.board.Members.Load().Others(), s)
 	}
 	c.watcher.Rank = func() int { return c.board.Members.Load().Rank("config") }
 	c.watcher.Installed = c.prober.Nudge
@@ -156,7 +157,7 @@
 // askWarmth asks a few peers which servers they know to be warm.
 func (c *Core) askWarmth(ctx context.Context, question []fleet.Warmth) []fleet.Warmth {
 	var warm []fleet.Warmth
-	peers := c.others()
+	peers := c.board.Members.Load().Others()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, m := range peers[:min(len(peers), warmthPeers)] {
 		known, err := c.links.Warmth(ctx, m.Address, question)
@@ -168,15 +169,9 @@
 	return warm
 }
 
-func (c *Core) others() []blackboard.Member {
-	var others []blackboard.Member
-	members := c.board.Members.Load()
-	for _, m := range members.List {
-		if m.Name != members.Self && m.State == blackboard.Alive {
-			others = append(others, m)
-		}
-	}
-	return others
+// ask asks a peer what it knows beside the configuration.
+func (c *Core) ask(ctx context.Context, address netip.AddrPort) (peer.Knowledge, error) {
+	return c.links.Records(ctx, address, 0)
 }
 
 // seeds lists the addresses of the settings and of the platform's list. While
@@ -247,6 +242,7 @@
 	go c.fleet.Run(life)
 	go c.prober.Run(life)
 	go c.watcher.Run(life)
+	go introduction{board: c.board, suspects: c.suspects, log: c.log, ask: c.ask}.run(life)
 	listed, leave := context.WithCancel(life)
 	defer leave()
 	go c.enlister.Run(listed)
@@ -310,7 +306,7 @@
 		}
 	}
 	for _, s := range routes.Servers {
-		if s.Usable() && !s.Warm() && !s.Owned() && len(c.others()) == 0 {
+		if s.Usable() && !s.Warm() && !s.Owned() && len(c.board.Members.Load().Others()) == 0 {
 			return false
 		}
 	}
--- a/lentilward/fleet_model_test.go
+++ b/lentilward/fleet_model_test.go
@@ -155,7 +155,7 @@
 		return other.gateway.Load().peers.Records(since), nil
 	}
 	g.suspects.Tell = func(_ context.Context, s []blackboard.Suspect) {
-		for _, x := range g.others() {
+		for _, x := range g.board.Members.Load().Others() {
 			go func() {
 				ctx, cancel := context.WithTimeout(m.ctx, time.Second)
 				defer cancel()
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -176,7 +176,7 @@
 	}
 	g.suspects = suspect.New(g.board)
 	g.suspects.Tell = func(ctx context.Context, s []blackboard.Suspect) {
-		go g.links.TellSuspects(context.WithoutCancel(ctx), g.others(), s)
+		go g.links.TellSuspects(context.WithoutCancel(ctx), g.board.Members.Load().Others(), s)
 	}
 	g.peers.Suspects = g.suspects.Merge
 	g.peers.Records = func(since uint64) peer.Knowledge {
@@ -202,14 +202,6 @@
 	return seeds
 }
 
-// others are the members that take work.
-func (g *Gateway) others() []blackboard.Member {
-	members := g.board.Members.Load()
-	return lo.Filter(members.List, func(m blackboard.Member, _ int) bool {
-		return m.Name != members.Self && m.State == blackboard.Alive
-	})
-}
-
 // fetch asks a peer for newer records.
 func (g *Gateway) fetch(ctx context.Context, address netip.AddrPort) {
 	if !g.fetching.CompareAndSwap(false, true) {
@@ -230,26 +222,12 @@
 	g.suspects.Merge(delta.Suspects)
 }
 
-// introduce asks the first peer that is met for what peers tell only once: the
-// requests that backend servers were lost with before this process began.
+// introduce learns what peers tell only once.
 func (g *Gateway) introduce(ctx context.Context) {
-	for {
-		for _, m := range g.others() {
-			call, cancel := context.WithTimeout(ctx, firstContact)
-			known, err := g.records(call, m.Address, g.mirror.Revision())
-			cancel()
-			if err == nil {
-				g.suspects.Merge(known.Suspects)
-				g.log.Info("introduced", "peer", m.Name, "suspects", len(known.Suspects))
-				return
-			}
-		}
-		select {
-		case <-time.After(introducePeriod):
-		case <-ctx.Done():
-			return
-		}
+	ask := func(ctx context.Context, address netip.AddrPort) (peer.Knowledge, error) {
+		return g.records(ctx, address, g.mirror.Revision())
 	}
+	introduction{board: g.board, suspects: g.suspects, log: g.log, ask: ask}.run(ctx)
 }
 
 // joinDirectory connects the directory with the mirror.
@@ -293,7 +271,7 @@
 // helper picks a member in one of the data centres that have most parts.
 func (g *Gateway) helper(parts map[string]int) (netip.AddrPort, string, bool) {
 	most := lo.Max(lo.Values(parts))
-	candidates := lo.Filter(g.others(), func(m blackboard.Member, _ int) bool {
+	candidates := lo.Filter(g.board.Members.Load().Others(), func(m blackboard.Member, _ int) bool {
 		return float64(parts[m.DataCentre]) >= helperPart*float64(most)
 	})
 	if len(candidates) == 0 {
