Keep harmful requests in the store, so that they outlast all instances

Cause: the model of the fleet found that a fleet that restarts as a whole ran a harmful request again (, 2 instances: 4 times after all could know); the model had allowed for that.

Ruled out: writing every suspect, as innocents in flight beside a harmful request are suspects too and each write is paid for; a key without a lease, which nobody would take away.

TestHarmfulRequestsOutlastTheFleet fails without the keeper, TestNewInstanceLearnsOfSuspects without the introduction.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +57,7 @@
 	links     *peer.Links
 	peers     *peer.Server
 	suspects  *suspect.List
+	keeper    *suspect.Keeper
 	callers   *web.Server
 	engine    *scatter.Engine
 	metrics   *monitor.Metrics
@@ -111,6 +113,10 @@
 	o := g.options.Load()
 	g.enlister = newEnlister(store, o.Name, o.Listen.Peers, g.log)
 	g.enlister.Listed = func() bool { return len(g.mirror.List(platform.InstancePrefix+o.Name)) > 0 }
+	g.keeper = suspect.NewKeeper(g.log)
+	g.keeper.Write = func(ctx context.Context, x blackboard.Suspect, life time.Duration) error {
+		return keepHarmful(ctx, store, x, life)
+	}
 	g.metrics.Gauge("lentilward_platform_calls", "Calls to the platform.",
 		func() float64 { return float64(store.Calls.Load()) })
 }
@@ -178,6 +184,7 @@
 	g.suspects.Tell = func(ctx context.Context, s []blackboard.Suspect) {
 		go g.links.TellSuspects(context.WithoutCancel(ctx), g.board.Members.Load().Others(), s)
 	}
+	g.suspects.Keep = g.keeper.Keep
 	g.peers.Suspects = g.suspects.Merge
 	g.peers.Records = func(since uint64) peer.Knowledge {
 		delta := g.mirror.Since(since)
@@ -245,10 +252,27 @@
 	}
 	g.mirror.Changed = func(records []mirror.Record) {
 		g.directory.Changed(records)
+		g.learnHarmful(records)
 		g.prober.Nudge()
 	}
 }
 
+// learnHarmful takes in the harmful requests among new records.
+func (g *Gateway) learnHarmful(records []mirror.Record) {
+	for _, r := range records {
+		if r.Deleted || !strings.HasPrefix(r.Key, platform.HarmfulPrefix) {
+			continue
+		}
+		fingerprint, crashes, requests, err := platform.DecodeHarmful(r.Key, r.Value)
+		if err != nil {
+			g.log.Error("cannot read the record of a harmful request", "key", r.Key, "error", err)
+			continue
+		}
+		g.log.Info("harmful request", "fingerprint", fingerprint, "crashes", crashes, "requests", requests, "revision", r.Revision)
+		g.suspects.Merge([]blackboard.Suspect{{Fingerprint: fingerprint, Crashes: crashes, Requests: requests}})
+	}
+}
+
 // joinCallers connects the callers' side with the engine.
 func (g *Gateway) joinCallers() {
 	g.engine = scatter.New(conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply})
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -45,6 +45,7 @@
 	go g.prober.Run(life)
 	go g.follower.Run(life)
 	go g.enlist(enlisted)
+	go g.keeper.Run(life)
 	go g.introduce(life)
 	go g.awaitReady(life)
 	select {
--- a/lentilward/storeclient.go
+++ b/lentilward/storeclient.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/enlist"
 	"lentilward.org/platform"
 )
@@ -48,3 +49,18 @@
 	e.Listed = func() bool { return true }
 	return e
 }
+
+// keepHarmful writes a harmful request under a lease, so that it is forgotten in
+// time.
+func keepHarmful(ctx context.Context, c *platform.Store, x blackboard.Suspect, life time.Duration) error {
+	value, err := platform.EncodeHarmful(x.Crashes, x.Requests)
+	if err != nil {
+		return err
+	}
+	lease, _, err := c.Grant(ctx, life)
+	if err != nil {
+		return err
+	}
+	_, err = c.Commit(ctx, nil, []platform.Write{{Key: platform.HarmfulKey(x.Fingerprint), Value: value, Lease: lease}}, nil)
+	return err
+}
--- a/lentilward/suspect/suspect.go
+++ b/lentilward/suspect/suspect.go
@@ -35,11 +35,15 @@
 	mu    sync.Mutex
 	// Tell spreads suspects to the peers and returns soon.
 	Tell func(ctx context.Context, suspects []blackboard.Suspect)
+	// Keep is called once a request has turned out to be harmful. It must not block.
+	Keep func(blackboard.Suspect)
 }
 
 // New returns an empty list.
 func New(board *blackboard.Board) *List {
-	return &List{board: board, Tell: func(context.Context, []blackboard.Suspect) {}}
+	return &List{
+		board: board, Tell: func(context.Context, []blackboard.Suspect) {}, Keep: func(blackboard.Suspect) {},
+	}
 }
 
 // Crashed notes servers lost with a query and tells the peers before it
@@ -50,6 +54,9 @@
 	x.Crashes, x.Requests = known.Crashes+servers, known.Requests+1
 	s.Merge([]blackboard.Suspect{x})
 	s.Tell(ctx, []blackboard.Suspect{x})
+	if harmful(x) && !harmful(known) {
+		s.Keep(x)
+	}
 }
 
 // All returns the suspects known.
@@ -105,7 +112,10 @@
 // Harmful tells whether a request that came before is known to take servers
 // with it.
 func (s *List) Harmful(fingerprint uint64) bool {
-	x := s.board.Suspects.Load().ByFingerprint[fingerprint]
+	return harmful(s.board.Suspects.Load().ByFingerprint[fingerprint])
+}
+
+func harmful(x blackboard.Suspect) bool {
 	return x.Crashes >= leastCrashes && x.Requests >= leastRequests
 }
 
