Make the server of the first call overdue, not that of its hedge

The timer marked the call that was started last; where a hedge ran by then, the hedge's server counted as slow and the stuck one did not. A cold server was marked as well, which is slow by nature.

After: TestOverdueCallIsTheFirst, which failed before (0 and 1 calls overdue, want 1 and 0).

--- a/lentilward/backend/place.go
+++ b/lentilward/backend/place.go
@@ -42,7 +42,7 @@
 
 // late notes that the call on the place takes longer than most.
 func (p *place) late() {
-	if p.phase.CompareAndSwap(running, overdue) {
+	if !p.cold && p.phase.CompareAndSwap(running, overdue) {
 		p.server.Overdue.Add(1)
 	}
 }
--- a/lentilward/backend/runner.go
+++ b/lentilward/backend/runner.go
@@ -17,9 +17,9 @@
 	maxAttempts = 4
 	// freeRetries is the number of retries per shard that cost no budget.
 	freeRetries = 1
-	// overdueFactor is by how much a call takes longer than the mean of its server
-	// if it does not just wait there.
-	overdueFactor = 3
+	// lateFactor is by how much a call takes longer than the mean of its server if
+	// it does not just wait there.
+	lateFactor = 3
 	// borrowFactor is how many times its own share of extra runs a service may
 	// have from the others, while its servers are slow and theirs are not.
 	borrowFactor = 4
@@ -96,9 +96,9 @@
 	request *Request
 	task    Task
 	tried   []*blackboard.Server
-	// latest is the place of the call that was started last.
-	latest *place
-	done   chan outcome
+	// first is the place of the first call.
+	first *place
+	done  chan outcome
 	// hedgePlace hands over the place for a hedge.
 	hedgePlace chan *place
 
@@ -139,8 +139,8 @@
 		case <-hedge.C:
 			go s.awaitHedge(ctx, s.tried[0])
 		case <-late.C:
-			s.latest.late()
-			s.runner.Wake(s.latest.server)
+			s.first.late()
+			s.runner.Wake(s.first.server)
 		case p := <-s.hedgePlace:
 			if !s.hedge(ctx, p) {
 				hedge.Reset(hedgePause)
@@ -155,7 +155,7 @@
 // longer than a hedge waits for, if the server has a queue.
 func (s *shardRun) lateAfter() time.Duration {
 	delay := time.Duration(s.task.Routes.State.HedgeDelay.Load())
-	return max(delay, overdueFactor*s.latest.server.Latency())
+	return max(delay, lateFactor*s.first.server.Latency())
 }
 
 // attempt waits for a place and starts a call.
@@ -171,7 +171,9 @@
 
 func (s *shardRun) start(ctx context.Context, p *place) {
 	s.tried = append(s.tried, p.server)
-	s.latest = p
+	if s.first == nil {
+		s.first = p
+	}
 	s.inFlight++
 	s.runner.start(ctx, s.request, s.task, p, s.done)
 }
--- a/lentilward/backend/runner_test.go
+++ b/lentilward/backend/runner_test.go
@@ -135,6 +135,29 @@
 	})
 }
 
+// The call that takes long makes its server overdue, not the hedge that runs
+// beside it.
+func TestOverdueCallIsTheFirst(t *testing.T) {
+	withBench(t, 2, func(t *testing.T, b *bench) {
+		for range 100 {
+			b.task.Routes.State.Budget.Earn(0.05)
+		}
+		b.servers[0].Observe(10*time.Millisecond, time.Now())
+		b.servers[1].Observe(30*time.Millisecond, time.Now())
+		b.clients[0].delay, b.clients[1].delay = time.Second, 100*time.Millisecond
+		go b.run(request(10 * time.Second))
+		time.Sleep(35 * time.Millisecond)
+		if b.clients[1].calls != 1 || b.servers[0].Overdue.Load() != 1 || b.servers[1].Overdue.Load() != 0 {
+			t.Errorf("%d hedges, %d and %d calls overdue, want 1, 1 and 0", b.clients[1].calls,
+				b.servers[0].Overdue.Load(), b.servers[1].Overdue.Load())
+		}
+		time.Sleep(time.Second)
+		if b.servers[0].Overdue.Load() != 0 {
+			t.Error("still overdue after the end")
+		}
+	})
+}
+
 // A service whose own budget is spent borrows what others have saved, within
 // bounds, and all together stay within their share.
 func TestSlowServiceBorrowsBudget(t *testing.T) {
