--- a/lentilward/fleet_model_test.go
+++ b/lentilward/fleet_model_test.go
@@ -470,6 +470,26 @@
 	return nil
 }
 
+// withdrawTime is how soon a withdrawal must be in force.
+const withdrawTime = 3 * time.Second
+
+// checkWithdrawal takes the data centre of the backend server out of service,
+// while the store does not answer one of the instances.
+func (m *model) checkWithdrawal() error {
+	m.all()[m.draw.IntN(len(m.all()))].shut.Store(true)
+	time.Sleep(2 * time.Second)
+	if !m.put(platform.WithdrawnPrefix+"z1", []byte("{}")) {
+		return errors.New("the store took no withdrawal")
+	}
+	time.Sleep(withdrawTime)
+	for _, n := range m.all() {
+		if !n.server.Load().Out() {
+			return fmt.Errorf("%s still uses a data centre that was withdrawn", n.name)
+		}
+	}
+	return nil
+}
+
 // Whatever befalls the machines, their links and the store, all instances
 // together keep to the allowance of repeats in every window; and soon after all
 // is well they agree on the configuration, on each other and on the shares of
@@ -510,7 +530,7 @@
 		if m.configure() {
 			time.Sleep(3 * time.Second)
 		}
-		if failure = errors.Join(m.checkBudget(), m.checkAgreement(), h.check()); failure != nil {
+		if failure = errors.Join(m.checkBudget(), m.checkAgreement(), m.checkWithdrawal(), h.check()); failure != nil {
 			failure = fmt.Errorf("%w\n%s", failure, strings.Join(m.notes, "\n"))
 		}
 		cancel()
