Keep the wait for lapsed records within the bound for leaving servers

Ruled out: believing the end at once, as living servers come back after 2 s.

Change: the wait ends 0.65 s before the bound, at 2.2 s at most, and the reading is looked for every 0.1 s. TestLapseKeepsToTheBound failed before (1 usable server at 1.5 s, want 0).

--- a/lentilward/directory/directory_test.go
+++ b/lentilward/directory/directory_test.go
@@ -241,6 +241,25 @@
 	})
 }
 
+// A server that is gone for good gets no work later than the bound for servers
+// that leave, also if its record may have lapsed; the news of it takes a while.
+func TestLapseKeepsToTheBound(t *testing.T) {
+	const news = 400 * time.Millisecond
+	for _, drain := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t)
+			b.d.SetDrain(drain)
+			b.d.Relist = b.list
+			b.put(server("i-1", nil))
+			b.troubled.Store(int64(time.Second))
+			b.put(mirror.Record{Key: "servers/i-1", Deleted: true})
+			b.want(1, "just ended")
+			time.Sleep(drain - news)
+			b.want(0, fmt.Sprintf("bound of %v", drain))
+		})
+	}
+}
+
 // Many records that end at once are a lapse, though this instance saw no
 // trouble.
 func TestMassLapse(t *testing.T) {
--- a/lentilward/directory/lapse.go
+++ b/lentilward/directory/lapse.go
@@ -12,11 +12,15 @@
 	// lapseWait is how long a server whose record ended with a lapse of the store
 	// is believed to be there: it comes back within two seconds if it lives.
 	lapseWait = 2200 * time.Millisecond
+	// lapseReserve is the part of the time in which a leaving server must get no
+	// new work that is kept for the news of the end, and for the reading that
+	// confirms it.
+	lapseReserve = 650 * time.Millisecond
 	// confirmWait is how long after that a reading of the store is waited for that
 	// shows that the record is still missing, by instances that learn from peers.
 	confirmWait = 3 * time.Second
 	// confirmPeriod is the time between two looks at whether it was read.
-	confirmPeriod = 300 * time.Millisecond
+	confirmPeriod = 100 * time.Millisecond
 	// lapseMemory is how long after trouble with the store records that end may
 	// have lapsed.
 	lapseMemory = 4 * time.Second
@@ -43,7 +47,7 @@
 		t.lapsed = lapsed && !t.Leaving
 		switch {
 		case t.lapsed:
-			t.goneAt = now.Add(lapseWait)
+			t.goneAt = now.Add(d.lapseWait())
 		case !t.Leaving:
 			t.goneAt = now.Add(time.Duration(vanishPart * float64(d.drain.Load())))
 		}
@@ -53,6 +57,13 @@
 	}
 }
 
+// lapseWait returns how long a record that may have lapsed is waited for, within
+// the bound for servers that leave.
+func (d *Directory) lapseWait() time.Duration {
+	drain := time.Duration(d.drain.Load())
+	return min(lapseWait, max(drain-lapseReserve, drain/2))
+}
+
 // confirmed tells whether a record that ended with a lapse is known to be
 // missing still. While neither the store nor peers tell, the server's own answers
 // decide.
