--- a/lentilward/backend/runner_test.go
+++ b/lentilward/backend/runner_test.go
@@ -147,6 +147,7 @@
 		b.clients[0].delay, b.clients[1].delay = time.Second, 100*time.Millisecond
 		go b.run(request(10 * time.Second))
 		time.Sleep(35 * time.Millisecond)
+		synctest.Wait()
 		if b.clients[1].calls != 1 || b.servers[0].Overdue.Load() != 1 || b.servers[1].Overdue.Load() != 0 {
 			t.Errorf("%d hedges, %d and %d calls overdue, want 1, 1 and 0", b.clients[1].calls,
 				b.servers[0].Overdue.Load(), b.servers[1].Overdue.Load())
--- a/lentilward/suspect/keeper_test.go
+++ b/lentilward/suspect/keeper_test.go
@@ -35,10 +35,10 @@
 			a.Crashed(ctx, 7, 2)
 		}
 		time.Sleep(time.Minute)
+		cancel()
+		synctest.Wait()
 		if tries != 3 || kept != 1 {
 			t.Errorf("%d tries, kept %d times, want 3 and 1", tries, kept)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
