Log the version and age behind a refusal, and how long fetches took

Refused requests now carry version and configuration-age, failed watches and fetches their duration, and three gauges show version, revision and age of each instance. No decision has changed; tests of web and mirror pass.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -224,13 +224,14 @@
 	defer g.fetching.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
-	since := g.mirror.Revision()
+	since, begunAt := g.mirror.Revision(), time.Now()
 	delta, err := g.fetchRecords(ctx, address, since)
 	if err != nil {
-		g.log.Info("fetching records from a peer failed", "peer", address, "error", err)
+		g.log.Info("fetching records from a peer failed", "peer", address, "since", since, "took", time.Since(begunAt), "error", err)
 		return
 	}
-	g.log.Debug("received records from a peer", "peer", address, "since", since, "revision", delta.Revision, "records", len(delta.Records))
+	g.log.Debug("received records from a peer", "peer", address, "since", since, "revision", delta.Revision, "records", len(delta.Records),
+		"age", delta.Age, "took", time.Since(begunAt))
 	g.mirror.Apply(delta.Records, delta.Revision)
 	g.follower.MarkCurrent(delta.Age)
 	g.suspects.Merge(delta.Suspects)
@@ -255,6 +256,16 @@
 	g.directory.InstanceCount = g.fleet.size
 	g.directory.SinceStoreFailure, g.directory.RecordAge = g.follower.SinceFailure, g.follower.Age
 	g.directory.SinceListing, g.directory.Relist, g.directory.ReadsStore = g.follower.SinceListing, g.follower.Relist, g.readsStore
+	g.metrics.RegisterGauge("lentilward_configuration_version", "Version of the configuration in force; 0 without one.", func() float64 {
+		if snapshot := g.directory.Current.Load(); snapshot != nil {
+			return float64(snapshot.Configuration.Version)
+		}
+		return 0
+	})
+	g.metrics.RegisterGauge("lentilward_records_revision", "Revision of the store up to which the records are known.",
+		func() float64 { return float64(g.mirror.Revision()) })
+	g.metrics.RegisterGauge("lentilward_records_age_seconds", "Time since the records were last confirmed to be up to date.",
+		func() float64 { return g.follower.Age().Seconds() })
 	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
 		return balance.NewServer(b, conn.NewPool(b.Address), b.DataCentre != g.options.Load().DataCentre)
 	}
@@ -298,6 +309,7 @@
 		g.log.Warn("connections to backend servers were lost during a request", "request-id", r.ID, "servers", servers)
 		g.suspects.RecordCrashes(context.Background(), suspect.RequestFingerprint(r), uint32(servers))
 	}
+	g.callers.ConfigurationAge = g.follower.Age
 	g.callers.IsConfigurationCurrent = func() bool { return g.follower.Age() < maxCurrentAge }
 }
 
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -92,6 +92,7 @@
 			sleep(ctx, idleCheckInterval)
 			continue
 		}
+		begunAt := time.Now()
 		err := f.sync(ctx)
 		if ctx.Err() != nil {
 			return
@@ -103,7 +104,8 @@
 			continue
 		}
 		f.failedAt.Store(int64(time.Since(f.start)))
-		f.log.Warn("reading the store failed", "error", err, "revision", f.mirror.Revision(), "pause", backoff)
+		f.log.Warn("reading the store failed", "error", err, "took", time.Since(begunAt),
+			"revision", f.mirror.Revision(), "age", f.Age(), "pause", backoff)
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -52,6 +52,9 @@
 	// IsConfigurationCurrent reports whether the configuration in force is known
 	// to be the newest.
 	IsConfigurationCurrent func() bool
+	// ConfigurationAge returns how long ago the configuration in force was last
+	// confirmed to be the newest.
+	ConfigurationAge func() time.Duration
 	// IsPoison reports whether a request is known to crash backend servers.
 	// RecordServersLost records for how many backend servers the connection was
 	// lost during a request that failed.
@@ -74,7 +77,7 @@
 func New(format Format, d *directory.Directory, e *scatter.Engine, log *slog.Logger) *Server {
 	return &Server{
 		format: format, directory: d, engine: e, log: log,
-		IsConfigurationCurrent: func() bool { return true }, OnRequestEnd: func(RequestResult) {},
+		IsConfigurationCurrent: func() bool { return true }, ConfigurationAge: func() time.Duration { return 0 }, OnRequestEnd: func(RequestResult) {},
 		IsPoison: func(*domain.Request) bool { return false }, RecordServersLost: func(*domain.Request, int) {},
 	}
 }
@@ -98,7 +101,7 @@
 	snapshot := s.directory.Current.Load()
 	answer, result := s.handle(r, request, snapshot, started)
 	if result.Refusal != nil && result.Refusal.Reason == domain.Abandoned {
-		s.recordResult(request, result, 0)
+		s.recordResult(request, snapshot, result, 0)
 		panic(http.ErrAbortHandler)
 	}
 	if s.stopping.Load() || result.Refusal != nil && result.Refusal.Reason == domain.Malformed {
@@ -118,12 +121,12 @@
 	if _, err := w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		s.log.Info("writing the answer to the caller failed", "request-id", request.ID, "error", err)
 	}
-	s.recordResult(request, result, status)
+	s.recordResult(request, snapshot, result, status)
 }
 
 // recordResult reports the result of a request to OnRequestEnd and logs it: at
 // info level if it was refused or shards are missing, otherwise at debug level.
-func (s *Server) recordResult(request *domain.Request, result RequestResult, status int) {
+func (s *Server) recordResult(request *domain.Request, snapshot *directory.Snapshot, result RequestResult, status int) {
 	s.OnRequestEnd(result)
 	level := slog.LevelDebug
 	if result.Refusal != nil || result.Stats.Missing > 0 {
@@ -143,6 +146,9 @@
 	if result.Refusal != nil {
 		attributes = append(attributes, "reason", result.Refusal.Reason, "outcome", result.Refusal.Outcome,
 			"retry-after", result.Refusal.RetryAfter, "message", result.Refusal.Message)
+		if snapshot != nil {
+			attributes = append(attributes, "version", snapshot.Configuration.Version, "configuration-age", s.ConfigurationAge())
+		}
 	}
 	s.log.Log(context.Background(), level, "request", attributes...)
 }
