--- /dev/null
+++ b/lentilward/currency_test.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	standin "lentilward.org/lentilstand/platform"
+	"lentilward.org/lentilward/balance"
+	"lentilward.org/lentilward/conn"
+	"lentilward.org/lentilward/mirror"
+	"lentilward.org/lentilward/peer"
+	"lentilward.org/platform"
+	"lentilward.org/schema/domain"
+)
+
+// Bounds of the tests: a configuration must be in force maxApplyDelay after its
+// acknowledgement, and recoveryPeriod after a fault of an instance has ended.
+const (
+	maxApplyDelay  = 3 * time.Second
+	recoveryPeriod = 4 * time.Second
+)
+
+// memoryPlatform is a store, a backend server and instances on a memoryNetwork.
+type memoryPlatform struct {
+	ctx     context.Context
+	network *memoryNetwork
+	store   *standin.Store
+	client  *platform.Store
+}
+
+func newMemoryPlatform(t *testing.T) *memoryPlatform {
+	p := &memoryPlatform{ctx: t.Context(), network: newMemoryNetwork(t), store: standin.New(1)}
+	p.serve(t, storeAddress, p.store.Handler())
+	backendServer := netip.MustParseAddrPort("10.9.0.1:80")
+	p.serve(t, backendServer, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Server-Stamp", "s")
+	}))
+	p.client = platform.NewStore(storeAddress, &http.Client{Transport: handlerTransport{p.store.Handler(), "10.250.0.1"}})
+	p.write(t, standin.ServerKey("i-1"), string(standin.Server{Service: "s1", Address: backendServer.String(), DataCentre: "z1"}.Record()))
+	return p
+}
+
+func (p *memoryPlatform) serve(t *testing.T, address netip.AddrPort, h http.Handler) {
+	l, err := p.network.listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	t.Cleanup(func() { s.Close() })
+	go s.Serve(l)
+}
+
+func (p *memoryPlatform) write(t *testing.T, key, value string) {
+	t.Helper()
+	if _, err := p.client.Commit(p.ctx, nil, []platform.Write{{Key: key, Value: []byte(value)}}, nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// publishRoutes writes a version of the configuration that has one route for each
+// prefix.
+func (p *memoryPlatform) publishRoutes(t *testing.T, version int, prefixes ...string) {
+	t.Helper()
+	routes := ""
+	for i, prefix := range prefixes {
+		if i > 0 {
+			routes += ","
+		}
+		routes += fmt.Sprintf(`{"name":"r%d","host":"h","prefix":%q,"kind":"safe","service":"s1","timeoutMs":1000,"targetLatencyMs":100,"maxAttempts":2}`, i, prefix)
+	}
+	p.write(t, platform.ConfigurationKey, fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s1","maxConnections":30}]}`, version, routes))
+}
+
+// startInstance starts an instance on the machine 10.0.0.<number>.
+func (p *memoryPlatform) startInstance(t *testing.T, number int, seeds ...netip.AddrPort) *Gateway {
+	host := fmt.Sprintf("10.0.0.%d", number)
+	dial := p.network.dialFrom(host)
+	o := &Options{Name: fmt.Sprintf("n%d", number), DataCentre: "z1", Peers: seeds}
+	for port, address := range []*netip.AddrPort{&o.Listen.HTTP, &o.Listen.Readiness, &o.Listen.Peers, &o.Listen.Monitor} {
+		*address = netip.AddrPortFrom(netip.MustParseAddr(host), uint16(8100+port))
+	}
+	o.Store.Address = storeAddress
+	o.RetryBudget.Slack, o.RetryBudget.Window, o.Stop.Grace = 50, duration(10*time.Second), duration(time.Second)
+	g := newGateway(o, newStoreClient(storeAddress, dial), slog.New(slog.DiscardHandler), &slog.LevelVar{})
+	g.listen, g.links.Dial = p.network.listen, dial
+	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
+		pool := conn.NewPool(b.Address)
+		pool.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			return dial(ctx, "tcp", address.String())
+		}
+		return balance.NewServer(b, pool, false)
+	}
+	processCtx, cancel := context.WithCancel(p.ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		if err := g.Run(processCtx, processCtx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-stopped
+		p.network.close()
+		g.links.Close()
+	})
+	return g
+}
+
+// statusOf returns the status of the answer to a request.
+func statusOf(g *Gateway, path string) int {
+	r := httptest.NewRequest(http.MethodGet, path, nil)
+	r.Host = "h"
+	r.Header.Set("Request-Id", "q1")
+	w := httptest.NewRecorder()
+	g.callers.ServeHTTP(w, r)
+	return w.Code
+}
+
+// Guards against an instance that answers 404 for a route that was added more than
+// the bound ago, because it waits on connections to the store that have gone silent.
+func TestAddedRouteIsServedAfterStoreConnectionsWentSilent(t *testing.T) {
+	for step := range 8 {
+		silentAt := 20*time.Second + time.Duration(step)*300*time.Millisecond
+		t.Run(silentAt.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newMemoryPlatform(t)
+				p.publishRoutes(t, 1, "/a/")
+				g := p.startInstance(t, 1)
+				time.Sleep(silentAt)
+				p.network.silenceOpenConnections()
+				time.Sleep(recoveryPeriod - maxApplyDelay)
+				p.publishRoutes(t, 2, "/a/", "/b/")
+				time.Sleep(maxApplyDelay)
+				if got := statusOf(g, "/b/"); got != http.StatusOK {
+					t.Errorf("status %d for a route that was added %v ago", got, maxApplyDelay)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an instance that depends on its peers for the configuration and
+// cannot reach them for minutes after the connections to them have gone silent.
+func TestAddedRouteIsServedAfterPeerConnectionsWentSilent(t *testing.T) {
+	for step := range 8 {
+		silentAt := 20*time.Second + time.Duration(step)*300*time.Millisecond
+		t.Run(silentAt.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newMemoryPlatform(t)
+				p.publishRoutes(t, 1, "/a/")
+				one := p.startInstance(t, 1)
+				time.Sleep(time.Second)
+				refused := p.startInstance(t, 2, one.options.Load().Listen.Peers)
+				time.Sleep(time.Second)
+				p.store.RefuseCaller("10.0.0.2", time.Hour)
+				time.Sleep(silentAt)
+				p.network.silenceOpenConnections()
+				time.Sleep(recoveryPeriod - maxApplyDelay)
+				p.publishRoutes(t, 2, "/a/", "/b/")
+				time.Sleep(maxApplyDelay)
+				if got := statusOf(refused, "/b/"); got != http.StatusOK {
+					t.Errorf("status %d for a route that was added %v ago", got, maxApplyDelay)
+				}
+			})
+		})
+	}
+}
+
+// Guards against one peer that does not reply to a fetch of its records, and so
+// keeps an instance from fetching those that other peers have.
+func TestFetchFromHangingPeerDoesNotDelayOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newMemoryPlatform(t)
+		p.publishRoutes(t, 1, "/a/")
+		g := p.startInstance(t, 1)
+		time.Sleep(2 * time.Second)
+		hanging, sound := netip.MustParseAddrPort("10.0.0.2:8102"), netip.MustParseAddrPort("10.0.0.3:8102")
+		newest := g.mirror.Revision() + 5
+		g.fetchRecords = func(ctx context.Context, address netip.AddrPort, _ uint64) (peer.RecordsReply, error) {
+			if address == hanging {
+				<-ctx.Done()
+				return peer.RecordsReply{}, ctx.Err()
+			}
+			return peer.RecordsReply{Delta: mirror.Delta{Revision: newest}}, nil
+		}
+		go g.prober.OnNewerRevision(p.ctx, hanging)
+		time.Sleep(100 * time.Millisecond)
+		go g.prober.OnNewerRevision(p.ctx, sound)
+		time.Sleep(time.Second)
+		if got := g.mirror.Revision(); got != newest {
+			t.Fatalf("revision %d a second after a peer had announced %d", got, newest)
+		}
+	})
+}
+
+// Guards against 404 from an instance that can't know whether the route was added
+// meanwhile, because nothing has confirmed its configuration for longer than a
+// change may take to be in force.
+func TestUnknownRouteIsRefusedAsNotRunWhileUnconfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newMemoryPlatform(t)
+		p.publishRoutes(t, 1, "/a/")
+		g := p.startInstance(t, 1)
+		time.Sleep(10 * time.Second)
+		if got := statusOf(g, "/b/"); got != http.StatusNotFound {
+			t.Fatalf("status %d while the configuration is confirmed", got)
+		}
+		p.network.silenceOpenConnections()
+		p.network.refuseConnections()
+		time.Sleep(maxApplyDelay)
+		for range 50 {
+			if got := statusOf(g, "/b/"); got != http.StatusServiceUnavailable {
+				t.Fatalf("status %d with a configuration that was confirmed %v ago", got, g.follower.Age())
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"runtime/debug"
 	"slices"
@@ -63,6 +64,8 @@
 	engine       *scatter.Engine
 	metrics      *monitor.Metrics
 	fleet        *fleetSize
+	// listen opens a listener at one of the instance's addresses.
+	listen func(address netip.AddrPort) (net.Listener, error)
 	// fetchRecords fetches the records that are newer than a revision from a
 	// peer.
 	fetchRecords func(ctx context.Context, peer netip.AddrPort, since uint64) (peer.RecordsReply, error)
@@ -74,7 +77,7 @@
 // newGateway creates the components and connects them.
 func newGateway(o *Options, store *platform.Store, log *slog.Logger, level *slog.LevelVar) *Gateway {
 	g := &Gateway{
-		log: log, level: level, mirror: mirror.New(), metrics: monitor.NewMetrics(),
+		log: log, level: level, mirror: mirror.New(), metrics: monitor.NewMetrics(), listen: listenTCP,
 		board: blackboard.New(blackboard.LocalInstance{Name: o.Name, DataCentre: o.DataCentre}),
 	}
 	g.options.Store(o)
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -35,7 +35,7 @@
 		{g.options.Load().Listen.Peers, peers},
 		{g.options.Load().Listen.Monitor, monitors},
 	} {
-		listener, err := net.Listen("tcp", l.address.String())
+		listener, err := g.listen(l.address)
 		if err != nil {
 			return merry.Wrap(err)
 		}
@@ -59,6 +59,10 @@
 	return g.shutDown(callers)
 }
 
+func listenTCP(address netip.AddrPort) (net.Listener, error) {
+	return net.Listen("tcp", address.String())
+}
+
 // keepRegistered waits until this instance reads the store, then keeps it
 // registered in the store's list of instances until the context ends.
 func (g *Gateway) keepRegistered(ctx context.Context) {
--- a/lentilward/peer/link.go
+++ b/lentilward/peer/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -19,6 +21,10 @@
 type Links struct {
 	byAddress sync.Map
 	traffic   *Traffic
+	client    *http.Client
+
+	// Dial opens a network connection to a peer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Traffic counts the bytes that were sent to and received from peers.
@@ -32,7 +38,13 @@
 // NewLinks returns an empty set of connections that records its traffic in
 // traffic.
 func NewLinks(traffic *Traffic) *Links {
-	return &Links{traffic: traffic}
+	l := &Links{traffic: traffic, Dial: (&net.Dialer{}).DialContext}
+	l.client = &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return l.Dial(ctx, network, address)
+		},
+	}}
+	return l
 }
 
 // link is one connection over which this instance calls a peer. pending holds the
@@ -62,7 +74,7 @@
 	if c, ok := l.byAddress.Load(address); ok {
 		return c.(*link), nil
 	}
-	conn, _, err := websocket.Dial(ctx, "ws://"+address.String()+peerPath, nil)
+	conn, _, err := websocket.Dial(ctx, "ws://"+address.String()+peerPath, &websocket.DialOptions{HTTPClient: l.client})
 	if err != nil {
 		return nil, merry.Prepend(err, "dial peer "+address.String())
 	}
--- a/lentilward/storeclient.go
+++ b/lentilward/storeclient.go
@@ -14,12 +14,21 @@
 	"lentilward.org/platform"
 )
 
+// dialFunc opens a network connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialStore opens a connection to the platform's store.
+func dialStore(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: storeDialTimeout}
+	return d.DialContext(ctx, network, address)
+}
+
 // newStoreClient returns the client of the platform's store that all components
 // of an instance share.
-func newStoreClient(address netip.AddrPort) *platform.Store {
+func newStoreClient(address netip.AddrPort, dial dialFunc) *platform.Store {
 	return platform.NewStore(address, &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdleStoreConnections, IdleConnTimeout: storeIdleTimeout,
-		DialContext: (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
+		DialContext: dial,
 	}})
 }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -41,10 +41,14 @@
 bubble_packages="$main/member $main/fleet"
 bubble_tests='^(TestFleetKeepsLimitsAndConvergesUnderFaults|TestIsolatedInstanceDoesNotSpendTheFleetsRetryBudget|TestNewInstanceFetchesSuspectRequestsFromPeers|TestPoisonRequestsSurviveFleetRestart)$'
 
+# Entries of KNOWN-RED.txt in the form "go test PACKAGE -run TEST" are skipped.
+known_red=$(sed -n 's/^go test [^ ]* -run \(Test[A-Za-z0-9]*\)$/\1/p' KNOWN-RED.txt | paste -sd'|')
+known_red="^(${known_red:-none})\$"
+
 test_or_detector_crash() { # arguments for go test
 	local log
 	log=$(mktemp)
-	if go test -race -count=1 "$@" >"$log" 2>&1; then
+	if go test -race -count=1 -skip "$known_red" "$@" >"$log" 2>&1; then
 		cat "$log"
 	elif grep -qE '^--- FAIL|DATA RACE|^panic:' "$log" || ! grep -qE 'ThreadSanitizer: CHECK failed|^SIGSEGV' "$log"; then
 		cat "$log"
@@ -57,10 +61,10 @@
 }
 
 # shellcheck disable=SC2046
-go test -race -count=1 $(for m in $modules; do go list "./$m/..."; done | grep -vxF -e "$main" $(printf -- '-e %s ' $bubble_packages))
-go test -race -count=1 -skip "$bubble_tests" "$main"
+go test -race -count=1 -skip "$known_red" $(for m in $modules; do go list "./$m/..."; done | grep -vxF -e "$main" $(printf -- '-e %s ' $bubble_packages))
+go test -race -count=1 -skip "$bubble_tests|$known_red" "$main"
 # shellcheck disable=SC2086
-go test -count=1 "$main" $bubble_packages
+go test -count=1 -skip "$known_red" "$main" $bubble_packages
 test_or_detector_crash -run "$bubble_tests" "$main"
 for package in $bubble_packages; do
 	test_or_detector_crash "$package"
