Close idle connections to the store after a call without a reply

What callers saw: 404 for a route that had been added more than 3 s ago, for up to 1.9 s more, after open connections went silent without a reset.

Cause: all calls to the store share one pool. A cancelled watch closes only its own connection; the next watch takes the idle one that a lease renewal left behind, which is as dead, and fails again after its whole wait. Evidence: the log of the failing test has two failed watches of 3.17 and 2.78 s in a row, and the new configuration in force right after the second.

Now a call that got no reply closes the idle connections, so the next one dials. Calls that this side cancelled are exempt.

--- a/lentilward/storeclient.go
+++ b/lentilward/storeclient.go
@@ -26,10 +26,23 @@
 // newStoreClient returns the client of the platform's store that all components
 // of an instance share.
 func newStoreClient(address netip.AddrPort, dial dialFunc) *platform.Store {
-	return platform.NewStore(address, &http.Client{Transport: &http.Transport{
+	return platform.NewStore(address, &http.Client{Transport: storeTransport{&http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdleStoreConnections, IdleConnTimeout: storeIdleTimeout,
 		DialContext: dial,
-	}})
+	}}})
+}
+
+// storeTransport closes the idle connections after a call that got no reply: what
+// made one connection silent may have affected the others as well.
+type storeTransport struct{ *http.Transport }
+
+// RoundTrip makes one call.
+func (t storeTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if err != nil && !errors.Is(r.Context().Err(), context.Canceled) {
+		t.CloseIdleConnections()
+	}
+	return response, err
 }
 
 // newRegistrar returns the component that keeps an instance registered in the
