Give up connections to peers that have gone silent

What callers saw: 404 for added routes from an instance that the store turns away, without end, once its connections had gone silent without a reset.

Cause: a link to a peer was kept until its socket failed. Without a reset that is when the kernel gives up, after many minutes, and until then every ping, fetch and gather goes to the dead connection and times out: both instances take each other to be dead. A write to it could block for as long and did not end with its call. Evidence: the failing test, 8 of 8 phases, still 404 after 20 minutes; both instances run and new connections between them work.

Now a ping without a reply takes its connection out of use if the peer sent nothing else since, and the next call dials. The old connection stays open for 5 s, so a gather at a peer that is merely slow can finish on it. Writes end after 2 s, and a probe on behalf of a peer after 0.5 s. TestAddedRouteIsServedAfterPeerConnectionsWentSilent passes in 10 runs of all 8 phases.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -168,6 +168,7 @@
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	g.links = peer.NewLinks(traffic)
+	g.links.OnSilent = logSilentPeer(g.log)
 	g.fetchRecords = g.links.FetchRecords
 	g.peers = peer.NewServer(g.board, peer.NewPermits(g.board), traffic, g.log)
 	g.table = member.NewTable(g.board, self, time.Now)
@@ -206,6 +207,14 @@
 		func() float64 { return float64(g.fleet.size()) })
 }
 
+// logSilentPeer returns a function that logs a connection to a peer that was given
+// up because the peer sent nothing on it.
+func logSilentPeer(log *slog.Logger) func(netip.AddrPort, time.Duration) {
+	return func(address netip.AddrPort, silentFor time.Duration) {
+		log.Info("connection to a peer went silent; dialing anew", "peer", address, "silent-for", silentFor)
+	}
+}
+
 // seedAddresses returns the addresses of other instances from the store and the
 // settings.
 func (g *Gateway) seedAddresses() []netip.AddrPort {
--- a/lentilward/peer/calls.go
+++ b/lentilward/peer/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -14,10 +15,20 @@
 // peers, and with that how long it may delay a request.
 const suspectReportTimeout = 100 * time.Millisecond
 
-// Ping sends gossip to a peer as a probe and returns the gossip in its reply.
+// Ping sends gossip to a peer as a probe and returns the gossip in its reply. A
+// peer replies at once, so a connection on which it sends nothing until the
+// deadline is given up.
 func (l *Links) Ping(ctx context.Context, address netip.AddrPort, g member.Gossip) (member.Gossip, error) {
 	var reply member.Gossip
-	if err := l.call(ctx, address, kindPing, g, &reply); err != nil {
+	c, err := l.getOrDial(ctx, address)
+	if err != nil {
+		return reply, err
+	}
+	sentAt := time.Now()
+	if err := c.call(ctx, kindPing, g, &reply); err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			l.retire(address, c, sentAt)
+		}
 		return reply, err
 	}
 	return reply, nil
--- a/lentilward/peer/link.go
+++ b/lentilward/peer/link.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/coder/websocket"
@@ -25,8 +26,20 @@
 
 	// Dial opens a network connection to a peer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnSilent is called when a connection is given up because the peer did not
+	// reply to a ping on it and sent nothing else for silentFor.
+	OnSilent func(address netip.AddrPort, silentFor time.Duration)
 }
 
+const (
+	// writeTimeout bounds the write of one frame. A connection on which a write
+	// times out is closed.
+	writeTimeout = 2 * time.Second
+	// retiredLinkTTL is how long a connection stays open that was given up as
+	// silent, so that gathers that are merely late can still finish on it.
+	retiredLinkTTL = 5 * time.Second
+)
+
 // Traffic counts the bytes that were sent to and received from peers.
 type Traffic struct {
 	SentBytes, ReceivedBytes atomic.Int64
@@ -38,7 +51,7 @@
 // NewLinks returns an empty set of connections that records its traffic in
 // traffic.
 func NewLinks(traffic *Traffic) *Links {
-	l := &Links{traffic: traffic, Dial: (&net.Dialer{}).DialContext}
+	l := &Links{traffic: traffic, Dial: (&net.Dialer{}).DialContext, OnSilent: func(netip.AddrPort, time.Duration) {}}
 	l.client = &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return l.Dial(ctx, network, address)
@@ -58,6 +71,9 @@
 	remoteGathers sync.Map
 	closed        chan struct{}
 	traffic       *Traffic
+	// lastFrame is when the last frame was received, or when the connection was
+	// opened if there was none.
+	lastFrame atomic.Pointer[time.Time]
 }
 
 // call sends a frame to a peer and decodes the reply's body into reply, unless that
@@ -80,6 +96,7 @@
 	}
 	conn.SetReadLimit(maxFrameBytes)
 	c := &link{conn: conn, closed: make(chan struct{}), traffic: l.traffic}
+	c.markReceived()
 	if other, loaded := l.byAddress.LoadOrStore(address, c); loaded {
 		conn.CloseNow()
 		return other.(*link), nil
@@ -94,6 +111,17 @@
 	return c, nil
 }
 
+// retire stops the use of a connection on which the peer has sent nothing since a
+// time; the next call dials anew.
+func (l *Links) retire(address netip.AddrPort, c *link, since time.Time) {
+	lastFrame := *c.lastFrame.Load()
+	if lastFrame.After(since) || !l.byAddress.CompareAndDelete(address, c) {
+		return
+	}
+	l.OnSilent(address, time.Since(lastFrame))
+	time.AfterFunc(retiredLinkTTL, func() { c.conn.CloseNow() })
+}
+
 // Close closes all connections.
 func (l *Links) Close() {
 	l.byAddress.Range(func(_, c any) bool {
@@ -110,6 +138,7 @@
 		if err != nil {
 			return
 		}
+		c.markReceived()
 		c.traffic.ReceivedBytes.Add(int64(len(data)))
 		f, err := decodeFrame(data)
 		if err != nil {
@@ -125,6 +154,11 @@
 	}
 }
 
+func (c *link) markReceived() {
+	now := time.Now()
+	c.lastFrame.Store(&now)
+}
+
 func (c *link) call(ctx context.Context, k kind, body, reply any) error {
 	id := c.nextID.Add(1)
 	received := make(chan frame, 1)
@@ -143,15 +177,17 @@
 	}
 }
 
-// writeFrame sends a frame. It takes no context: a cancelled write would close the
-// connection, and all other calls on it would fail.
+// writeFrame sends a frame. It does not use the context of the call: a cancelled
+// write would close the connection, and all other calls on it would fail.
 func (c *link) writeFrame(id uint64, k kind, body any) error {
 	data, err := encodeFrame(id, k, body)
 	if err != nil {
 		return err
 	}
 	c.traffic.SentBytes.Add(int64(len(data)))
-	if err := c.conn.Write(context.Background(), websocket.MessageBinary, data); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	if err := c.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return merry.Prepend(ErrClosed, err.Error())
 	}
 	return nil
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/coder/websocket"
@@ -19,6 +20,9 @@
 // peerPath is the HTTP path of the WebSocket endpoint for peers.
 const peerPath = "/peer"
 
+// indirectProbeTimeout bounds a probe on behalf of a peer.
+const indirectProbeTimeout = 500 * time.Millisecond
+
 // Server handles the frames that peers send to this instance.
 type Server struct {
 	board   *blackboard.Board
@@ -112,6 +116,8 @@
 		return
 	}
 	s.traffic.SentBytes.Add(int64(len(data)))
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
 	if err := conn.Write(ctx, websocket.MessageBinary, data); err != nil {
 		s.log.Debug("sending a frame to a peer failed", "error", err)
 	}
@@ -136,7 +142,11 @@
 	case kindPing:
 		return handleBody(f, func(b pingBody) (any, error) { return s.Ping(ctx, b), nil })
 	case kindPingVia:
-		return handleBody(f, func(b pingViaBody) (any, error) { return struct{}{}, s.Probe(ctx, b.Target) })
+		return handleBody(f, func(b pingViaBody) (any, error) {
+			ctx, cancel := context.WithTimeout(ctx, indirectProbeTimeout)
+			defer cancel()
+			return struct{}{}, s.Probe(ctx, b.Target)
+		})
 	case kindConfig:
 		return handleBody(f, func(b configBody) (any, error) { return s.board.Config.Load().DeltaFrom(b.Since), nil })
 	case kindRecords:
--- a/lentilward/wire.go
+++ b/lentilward/wire.go
@@ -92,7 +92,9 @@
 	})
 	do.ProvideValue(i, &peer.Traffic{})
 	do.Provide(i, func(i do.Injector) (*peer.Links, error) {
-		return peer.NewLinks(do.MustInvoke[*peer.Traffic](i)), nil
+		links := peer.NewLinks(do.MustInvoke[*peer.Traffic](i))
+		links.OnSilent = logSilentPeer(do.MustInvoke[*slog.Logger](i))
+		return links, nil
 	})
 	do.Provide(i, func(i do.Injector) (*peer.Permits, error) {
 		return peer.NewPermits(do.MustInvoke[*blackboard.Board](i)), nil
