Fetch records beside a peer that hangs

What callers could see: 404 for an added route from an instance that the store turns away, for some seconds after the peer that told it of the change froze.

Cause: one fetch at a time, and what other peers announced meanwhile was dropped. A fetch from a peer that is frozen or cut off takes its whole 2 s, and the next word comes with some later gossip: together more than the bound of 3 s.

--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -210,7 +210,7 @@
 // fetchConfiguration fetches the changes since the current configuration from a
 // peer and installs the result. It tries a second time if the result cannot be
 // installed.
-func (c *Core) fetchConfiguration(ctx context.Context, address netip.AddrPort) {
+func (c *Core) fetchConfiguration(ctx context.Context, address netip.AddrPort, _ uint64) {
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
 	for range 2 {
--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,9 +194,9 @@
 			}
 			return peer.RecordsReply{Delta: mirror.Delta{Revision: newest}}, nil
 		}
-		go g.prober.OnNewerRevision(p.ctx, hanging)
+		go g.prober.OnNewerRevision(p.ctx, hanging, newest)
 		time.Sleep(100 * time.Millisecond)
-		go g.prober.OnNewerRevision(p.ctx, sound)
+		go g.prober.OnNewerRevision(p.ctx, sound, newest)
 		time.Sleep(time.Second)
 		if got := g.mirror.Revision(); got != newest {
 			t.Fatalf("revision %d a second after a peer had announced %d", got, newest)
@@ -226,3 +227,22 @@
 		}
 	})
 }
+
+// Guards against one fetch for each peer that announces the same revision.
+func TestRevisionAnnouncedByManyPeersIsFetchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var revision, fetches atomic.Int64
+		f := newRecordFetcher(func() uint64 { return uint64(revision.Load()) }, func(context.Context, netip.AddrPort) {
+			fetches.Add(1)
+			time.Sleep(10 * time.Millisecond)
+			revision.Store(7)
+		})
+		for i := range 30 {
+			go f.handleAnnouncement(t.Context(), netip.AddrPortFrom(storeAddress.Addr(), uint16(i)), 7)
+		}
+		time.Sleep(time.Second)
+		if n := fetches.Load(); n != 1 {
+			t.Fatalf("%d fetches of one revision", n)
+		}
+	})
+}
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -69,9 +69,6 @@
 	// fetchRecords fetches the records that are newer than a revision from a
 	// peer.
 	fetchRecords func(ctx context.Context, peer netip.AddrPort, since uint64) (peer.RecordsReply, error)
-	// fetching is set while records are being fetched from a peer, so that only
-	// one such fetch runs at a time.
-	fetching atomic.Bool
 }
 
 // newGateway creates the components and connects them.
@@ -178,7 +175,7 @@
 	g.prober.Ping = g.links.Ping
 	g.prober.PingVia = g.links.PingVia
 	g.prober.Seeds = func(context.Context) []netip.AddrPort { return g.seedAddresses() }
-	g.prober.OnNewerRevision = g.fetchFromPeer
+	g.prober.OnNewerRevision = newRecordFetcher(g.mirror.Revision, g.fetchFromPeer).handleAnnouncement
 	g.prober.NeedsMember = func() bool { return g.mirror.Revision() == 0 }
 	g.prober.OnSameRevision = g.follower.MarkCurrent
 	g.peers.Ping = func(ctx context.Context, gossip member.Gossip) member.Gossip {
@@ -227,13 +224,8 @@
 	return seeds
 }
 
-// fetchFromPeer fetches newer records from a peer and merges them. It does
-// nothing while another fetch runs.
+// fetchFromPeer fetches newer records from a peer and merges them.
 func (g *Gateway) fetchFromPeer(ctx context.Context, address netip.AddrPort) {
-	if !g.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	defer g.fetching.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
 	since, begunAt := g.mirror.Revision(), time.Now()
--- a/lentilward/member/member_test.go
+++ b/lentilward/member/member_test.go
@@ -54,7 +54,7 @@
 	n.prober.Seeds = func(context.Context) []netip.AddrPort {
 		return []netip.AddrPort{netip.AddrPortFrom(address.Addr(), 1000)}
 	}
-	n.prober.OnNewerRevision = func(_ context.Context, from netip.AddrPort) {
+	n.prober.OnNewerRevision = func(_ context.Context, from netip.AddrPort, _ uint64) {
 		if n.board.Install(w.node(from).board.Config.Load()) {
 			n.prober.GossipNow()
 		}
--- a/lentilward/member/prober.go
+++ b/lentilward/member/prober.go
@@ -43,9 +43,9 @@
 	PingVia func(ctx context.Context, helper, target netip.AddrPort) error
 	// Seeds returns the addresses at which instances are expected.
 	Seeds func(ctx context.Context) []netip.AddrPort
-	// OnNewerRevision is called when the member at this address has a newer
-	// revision.
-	OnNewerRevision func(ctx context.Context, address netip.AddrPort)
+	// OnNewerRevision is called when the member at this address announces a
+	// revision that is newer than this instance's own.
+	OnNewerRevision func(ctx context.Context, address netip.AddrPort, revision uint64)
 	// OnSameRevision is called when a member has the same revision as this
 	// instance; age is how long ago that revision was last known to be the
 	// newest.
@@ -169,7 +169,7 @@
 	p.table.Receive(g)
 	switch own := p.table.Revision(); {
 	case g.From.Revision > own:
-		go p.OnNewerRevision(ctx, g.From.Address)
+		go p.OnNewerRevision(ctx, g.From.Address, g.From.Revision)
 	case g.From.Revision == own:
 		p.OnSameRevision(g.Age)
 	}
