Answer 404 only with a configuration confirmed within its bound

What callers saw: 404 for an added route from any instance that did not know that it was behind, whatever kept it behind.

Cause: the age of the records was 0 while a watch was open, on a connection that might be dead, and peers with the same revision took that 0 over; 404 was given up to an age of 6 s, where the bound is 3 s at the small sites and 5 s at the grown ones. A watch with its grace took up to 3.3 s, so its loss was noticed after the bound.

The age now counts from the last reply of the store that a watch or a listing got, or that a peer tells of. The bound comes from the settings ('apply'); beyond it an unknown route gets 503, which is true and may be tried again, and everything that matches a route is served as before: refusing or turning unready would cost callers every answer during an outage of the store. The wait of a watch is derived from the same bound, 1.9 s where it is 3 s, so that a dead connection is replaced within it.

--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -35,6 +35,10 @@
 	defaultAnswerMargin = 15 * time.Millisecond
 )
 
+// defaultApply is the default of the time within which an accepted configuration
+// must be in force.
+const defaultApply = 3 * time.Second
+
 // Start-up
 const (
 	// readyCheckInterval is the interval between checks whether a starting
@@ -64,10 +68,13 @@
 	// exitMargin is how long before the end of the grace period the wait for
 	// requests in flight ends and the process exits.
 	exitMargin = 300 * time.Millisecond
-	// watchTimeout is how long a watch asks the store to wait for changes. The
-	// follower cancels a watch that has no reply within a second after that. The
-	// sum is less than the time within which a configuration must be in force.
-	watchTimeout = 2500 * time.Millisecond
+	// maxWatchWait and minWatchWait bound how long a watch asks the store to wait for
+	// changes.
+	maxWatchWait = 2500 * time.Millisecond
+	minWatchWait = 500 * time.Millisecond
+	// applyReserve is the part of the time to apply a configuration that is left for
+	// another call to the store after a watch was cancelled.
+	applyReserve = 300 * time.Millisecond
 	// storeReaderCount is the number of instances that read the store in normal
 	// operation; the others get its records from them.
 	storeReaderCount = 4
@@ -75,10 +82,8 @@
 	// records from peers before it reads the store.
 	firstStoreReadDelay = 800 * time.Millisecond
 	// maxReplicaAge is the age of the replica above which an instance reads the
-	// store itself. From maxCurrentAge on, the instance no longer reports its
-	// configuration as current.
+	// store itself.
 	maxReplicaAge = 4 * time.Second
-	maxCurrentAge = 6 * time.Second
 	// minGathererShare is the minimum number of shards in the data centre of a
 	// gatherer, as a share of the largest number in any data centre.
 	minGathererShare = 0.7
--- a/lentilward/fleet_model_test.go
+++ b/lentilward/fleet_model_test.go
@@ -120,6 +120,7 @@
 	for _, x := range m.machines()[:min(3, len(m.machines()))] {
 		o.Peers = append(o.Peers, x.address())
 	}
+	o.Apply = duration(defaultApply)
 	o.RetryBudget.Ratio, o.RetryBudget.Slack, o.RetryBudget.Window = modelRetryRatio, modelRetrySlack, duration(modelRetryWindow)
 	o.Search.Hedge = true
 	store := platform.NewStore(storeAddress, &http.Client{Transport: n})
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -111,7 +111,7 @@
 	g.follower.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*mirror.Page, error) {
 		return toMirrorPage(store.Watch(ctx, "", after, wait))
 	}
-	g.follower.MaxWatchWait = watchTimeout
+	g.follower.MaxWatchWait = watchWait(time.Duration(g.options.Load().Apply))
 	g.follower.ReadsStore = g.readsStore
 	o := g.options.Load()
 	g.registrar = newRegistrar(store, o.Name, o.Listen.Peers, g.log)
@@ -124,6 +124,12 @@
 		func() float64 { return float64(store.Calls.Load()) })
 }
 
+// watchWait returns how long a watch may wait for changes, so that one without a
+// reply is cancelled and another call made within the time to apply a configuration.
+func watchWait(apply time.Duration) time.Duration {
+	return min(maxWatchWait, max(minWatchWait, apply-mirror.WatchGracePeriod-applyReserve))
+}
+
 // toMirrorPage converts the page and error of a store call to those that
 // mirror.Follower expects.
 func toMirrorPage(p *platform.Page, err error) (*mirror.Page, error) {
@@ -314,7 +320,7 @@
 		g.suspects.RecordCrashes(context.Background(), suspect.RequestFingerprint(r), uint32(servers))
 	}
 	g.callers.ConfigurationAge = g.follower.Age
-	g.callers.IsConfigurationCurrent = func() bool { return g.follower.Age() < maxCurrentAge }
+	g.callers.IsConfigurationCurrent = func() bool { return g.follower.Age() < time.Duration(g.options.Load().Apply) }
 }
 
 // pickGatherer picks a random alive peer as gatherer, in one of the data centres
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -9,10 +9,11 @@
 	"time"
 )
 
+// WatchGracePeriod is how much longer than its wait a watch may take before it is
+// cancelled and its connection taken to be dead.
+const WatchGracePeriod = 800 * time.Millisecond
+
 const (
-	// watchGracePeriod is how much longer than its wait a watch may take before it
-	// is cancelled and its connection taken to be dead.
-	watchGracePeriod = 800 * time.Millisecond
 	// waitJitterDivisor sets the jitter of watches: a wait is shortened by up to
 	// Follower.MaxWatchWait/waitJitterDivisor.
 	waitJitterDivisor = 3
@@ -35,7 +36,7 @@
 var ErrCompacted = errors.New("store has compacted the changes after the revision")
 
 // errWatchTimeout is the cause of the cancellation of a watch that did not return
-// within its wait plus watchGracePeriod.
+// within its wait plus WatchGracePeriod.
 var errWatchTimeout = errors.New("watch did not return in time")
 
 // Page is one page of a listing, or the changes that a watch returned.
@@ -52,9 +53,6 @@
 	// currentAt is when the mirror was last confirmed to be up to date, and failedAt
 	// when a call to the store last failed, in nanoseconds since start.
 	currentAt, failedAt atomic.Int64
-	// watching is set if the last call to the store succeeded, so that the next one
-	// reports any change.
-	watching atomic.Bool
 	// listedAt is when the last complete listing of the store began, in nanoseconds
 	// since start.
 	listedAt        atomic.Int64
@@ -88,7 +86,6 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if !f.ReadsStore() {
-			f.watching.Store(false)
 			sleep(ctx, idleCheckInterval)
 			continue
 		}
@@ -97,9 +94,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.watching.Store(err == nil)
 		if err == nil {
-			f.MarkCurrent(0)
 			backoff = minBackoff
 			continue
 		}
@@ -129,7 +124,7 @@
 	}
 	// Jitter keeps the watches of several instances from ending together.
 	wait := f.MaxWatchWait - rand.N(f.MaxWatchWait/waitJitterDivisor+1)
-	watchCtx, cancel := context.WithTimeoutCause(ctx, wait+watchGracePeriod, errWatchTimeout)
+	watchCtx, cancel := context.WithTimeoutCause(ctx, wait+WatchGracePeriod, errWatchTimeout)
 	defer cancel()
 	var relisting atomic.Bool
 	go func() {
@@ -140,6 +135,7 @@
 		case <-watchCtx.Done():
 		}
 	}()
+	begunAt := time.Now()
 	page, err := f.Watch(watchCtx, f.mirror.Revision(), wait)
 	if relisting.Load() {
 		return f.listAll(ctx)
@@ -152,6 +148,9 @@
 		return errors.Join(err, context.Cause(watchCtx))
 	}
 	f.mirror.Apply(page.Records, page.Revision)
+	// The store replied no later than at the end of the wait, even if the reply was
+	// on its way for longer.
+	f.MarkCurrent(max(0, time.Since(begunAt)-wait))
 	if len(page.Records) > 0 {
 		// Changes come in bursts, and every call to the store is billed.
 		sleep(ctx, batchDelay)
@@ -184,15 +183,13 @@
 	}
 	f.mirror.MergeListing(records, revision)
 	f.listedAt.Store(int64(begunAt))
+	f.MarkCurrent(time.Since(f.start) - begunAt)
 	return nil
 }
 
-// Age returns how long ago the mirror was last confirmed to be up to date; 0 while
-// it is watching the store.
+// Age returns how long ago the mirror was last confirmed to be up to date. An open
+// watch confirms nothing until it returns, since its connection may be dead.
 func (f *Follower) Age() time.Duration {
-	if f.watching.Load() {
-		return 0
-	}
 	return time.Since(f.start) - time.Duration(f.currentAt.Load())
 }
 
--- a/lentilward/options.go
+++ b/lentilward/options.go
@@ -43,6 +43,10 @@
 	// Drain is how long a backend server may still get new work after it has
 	// started draining.
 	Drain duration `toml:"drain"`
+	// Apply is the time within which an accepted configuration must be in force. An
+	// instance whose configuration was not confirmed for longer does not claim that
+	// a route does not exist.
+	Apply duration `toml:"apply"`
 	// Search selects how a search meets its latency target: by hedging, and by
 	// answering AnswerMargin before the target with the shards that have
 	// replied.
@@ -97,6 +101,7 @@
 	o.RetryBudget.Ratio = defaultRetryRatio
 	o.RetryBudget.Slack = defaultRetrySlack
 	o.RetryBudget.Window = duration(defaultRetryWindow)
+	o.Apply = duration(defaultApply)
 	o.Search.Hedge = true
 	o.Search.EarlyAnswer = true
 	o.Search.AnswerMargin = duration(defaultAnswerMargin)
@@ -173,6 +178,9 @@
 	if o.Drain < 0 {
 		return &settingError{"drain", "must be at least 0"}
 	}
+	if o.Apply <= 0 {
+		return &settingError{"apply", "must be above 0"}
+	}
 	if o.Search.AnswerMargin < 0 {
 		return &settingError{"search.answer-margin", "must be at least 0"}
 	}
