--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -177,6 +178,39 @@
 	}
 }
 
+// Guards against an instance that ends, stops following the store or loses its
+// servers because of one odd record among those of the servers.
+func TestOddServerRecordsDoNotStopAnInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newMemoryPlatform(t)
+		p.publishRoutes(t, 1, "/a/")
+		running := p.startInstance(t, 1)
+		time.Sleep(2 * time.Second)
+		for i, text := range []string{
+			strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000),
+			strings.Repeat(`{"service":`, 50_000),
+			`{"service":"s1","address":"10.9.0.1:99999","zone":"z1","version":"v","slots":3,"state":"ready","coldRemainingMs":0,"sequence":1,"born":1}`,
+			`{"service":"s1","address":"10.9.0.1:80","zone":"z1","version":"v","slots":1e300,"state":"ready","coldRemainingMs":1e300,"sequence":1e300,"born":1}`,
+			`{"service":"s1","address":"10.9.0.1:80","zone":"z1","version":"v","slots":3,"state":"ready","coldRemainingMs":0,"sequence":1,"born":99999999999999999999}`,
+			"\xff\xfe\x00", "", "null", "7",
+		} {
+			p.write(t, fmt.Sprintf("servers/odd-%d", i), text)
+		}
+		p.publishRoutes(t, 2, "/a/", "/b/")
+		time.Sleep(time.Second)
+		started := p.startInstance(t, 2)
+		time.Sleep(2 * time.Second)
+		for _, g := range []*Gateway{running, started} {
+			if got := statusOf(g, "/b/"); got != http.StatusOK {
+				t.Errorf("status %d after odd records", got)
+			}
+			if n := len(g.directory.Current.Load().Services["s1"].Servers()); n != 1 {
+				t.Errorf("%d servers, want the one whose record is valid", n)
+			}
+		}
+	})
+}
+
 // Guards against one peer that does not reply to a fetch of its records, and so
 // keeps an instance from fetching those that other peers have.
 func TestFetchFromHangingPeerDoesNotDelayOthers(t *testing.T) {
