Show that a reply cut in its head is no success

Reported from elsewhere: a server stopped in the middle of the head of its answer and closed, and callers got a 200 with an empty or short body, framed as whole.

It does not happen here: the head is read to its empty line before anything is taken from it, an end before that is an error, and the caller gets 502 (unsafe or out of attempts) or another server's answer. No code had to change.

--- a/lentilward/web/server_test.go
+++ b/lentilward/web/server_test.go
@@ -152,3 +152,27 @@
 		t.Fatalf("%d runs, %d servers lost", runs.Load(), lost.Load())
 	}
 }
+
+// Guards against an answer that looks whole from a server that closed its connection
+// in the middle of the head of its reply.
+func TestReplyThatStopsInItsHeadIsNoSuccess(t *testing.T) {
+	const reply = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: q\r\nContent-Length: 3\r\n\r\nabc"
+	length := 0
+	_, frontend := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		fmt.Fprint(c, reply[:length])
+	})
+	for length = range len(reply) {
+		if got := sendRequest(t, frontend, "GET", "/a/", "q", "").StatusCode; got != http.StatusBadGateway {
+			t.Errorf("status %d after %q", got, reply[:length])
+		}
+	}
+	if got := sendRequest(t, frontend, "GET", "/a/", "q", "").StatusCode; got != http.StatusBadGateway {
+		t.Errorf("status %d without the last byte", got)
+	}
+}
