Bound the bytes of a backend server's reply

What could happen: bytes that are no answer may come without end. A body was cut at 16 MiB, but any number of them at once, and a length of 16 MiB was allocated before a byte of it came.

Each connection now reads through a source that ends a head after 64 KiB and a body after 16 MiB, and counts what exceeds 64 KiB of each body against a tenth of the machine's memory for all replies together; small replies are not affected. A reply over a limit ends at once, its connection is closed, and the part goes to another server as after any failure. It does not count as a lost connection, so the request is not suspected of crashing servers.

TestEndlessReplyIsAbandoned has eleven places in a reply at which bytes go on, TestLargeRepliesShareMemory the common bound, TestReadReplyRejectsTruncatedReplies that the new way of reading still takes no cut reply for whole.

--- a/lentilward/conn/call.go
+++ b/lentilward/conn/call.go
@@ -24,6 +24,8 @@
 	// ErrIncompleteReply means that the connection was lost before a complete
 	// reply arrived, or that the bytes received are not a valid reply.
 	ErrIncompleteReply = merry.Sentinel("no complete reply")
+	// ErrReplyTooLarge means that the reply exceeded a limit before its end.
+	ErrReplyTooLarge = merry.Sentinel("reply is too large")
 	// ErrReplyMismatch means that the replies received belong to other requests.
 	ErrReplyMismatch = merry.Sentinel("reply belongs to another request")
 )
@@ -33,15 +35,18 @@
 	// AppendCall appends to b the encoded request for the backend server with
 	// serverID. timeLeft is the time until the caller's deadline.
 	AppendCall func(b []byte, r *domain.Request, serverID string, timeLeft time.Duration) []byte
-	// ReadReply reads one complete reply to a request with this method.
-	ReadReply func(r *bufio.Reader, method string) (*domain.Reply, error)
+	// ReadReply reads one complete reply to a request with this method, and calls
+	// onBody when the body begins.
+	ReadReply func(r *bufio.Reader, method string, onBody func()) (*domain.Reply, error)
+	// Memory bounds the memory of the replies that are being read. nil sets no bound.
+	Memory *Memory
 }
 
 // Call sends a request and reads its reply until the deadline of the
 // connection. The request carries the time left until deadline. The result
 // reusable says whether the connection can be reused, and must be passed to
 // ReleaseOrDiscard. Call fails with ErrNotSent, ErrReplyTimeout,
-// ErrIncompleteReply or ErrReplyMismatch.
+// ErrIncompleteReply, ErrReplyTooLarge or ErrReplyMismatch.
 func (c *Conn) Call(codec Codec, r *domain.Request, serverID string, deadline time.Time) (_ *domain.Reply, reusable bool, _ error) {
 	c.writeBuffer = codec.AppendCall(c.writeBuffer[:0], r, serverID, time.Until(deadline))
 	if n, err := c.Write(c.writeBuffer); err != nil {
@@ -50,12 +55,17 @@
 		}
 		return nil, false, merry.Prepend(ErrIncompleteReply, err.Error())
 	}
+	defer c.source.release()
 	for skipped := 0; skipped <= maxSkippedReplies; skipped++ {
-		reply, err := codec.ReadReply(c.reader, r.Method)
-		if err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return nil, false, ErrReplyTimeout
-			}
+		c.source.expectHead(codec.Memory)
+		reply, err := codec.ReadReply(c.reader, r.Method, c.source.expectBody)
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, false, ErrReplyTimeout
+		case errors.Is(err, ErrReplyTooLarge):
+			return nil, false, err
+		default:
 			return nil, false, merry.Prepend(ErrIncompleteReply, err.Error())
 		}
 		if !isReplyTo(reply, r) {
--- a/lentilward/conn/conn_test.go
+++ b/lentilward/conn/conn_test.go
@@ -240,3 +240,102 @@
 		})
 	}
 }
+
+// Guards against a server that sends bytes without end, in a head or in a body, and
+// takes the memory of the instance or holds the call until its deadline.
+func TestEndlessReplyIsAbandoned(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Stamp: s\r\n"
+	for name, c := range map[string]struct {
+		begin, repeat string
+		max           int
+	}{
+		"status line":     {"HTTP/1.1 200 ", "x", maxHeadBytes},
+		"header line":     {head + "X: ", "x", maxHeadBytes},
+		"folded line":     {head + "X: ", "x\r\n ", maxHeadBytes},
+		"headers":         {head, "X: y\r\n", maxHeadBytes},
+		"no line":         {"", "\x00", maxHeadBytes},
+		"continues":       {"", "HTTP/1.1 100 Continue\r\n\r\n", maxHeadBytes},
+		"body":            {head + "\r\n", "x", maxBodyBytes},
+		"length":          {head + "Content-Length: 99999999999\r\n\r\n", "x", maxBodyBytes},
+		"chunks":          {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", maxBodyBytes},
+		"chunk extension": {head + "Transfer-Encoding: chunked\r\n\r\n", "1;x=y\r\nx\r\n", maxBodyBytes},
+		"trailers":        {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n", maxBodyBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			p := newPipePool(t)
+			p.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+				client, server := net.Pipe()
+				go func() { sent <- sendWithoutEnd(server, c.begin, c.repeat) }()
+				return client, nil
+			}
+			connection, err := p.Get(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			memory := NewMemory(maxBodyBytes)
+			codec := testCodec
+			codec.Memory = memory
+			reply, reusable, err := connection.Call(codec, newRequest("1"), "i-1", time.Now().Add(time.Minute))
+			connection.ReleaseOrDiscard(reusable)
+			if err == nil || reusable {
+				t.Fatalf("got a reply of status %d, %d bytes, reusable %v", reply.Status, len(reply.Body), reusable)
+			}
+			if n := <-sent; n > c.max+3*readBufferBytes+len(c.begin) {
+				t.Fatalf("read %d bytes, want at most %d", n, c.max)
+			}
+			if left := memory.left.Load(); left != maxBodyBytes {
+				t.Fatalf("%d bytes of memory were not given back", maxBodyBytes-left)
+			}
+		})
+	}
+}
+
+// sendWithoutEnd reads a request, writes begin and then repeat until the connection
+// is closed, and returns the number of bytes written.
+func sendWithoutEnd(c net.Conn, begin, repeat string) int {
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return 0
+	}
+	total, _ := c.Write([]byte(begin))
+	block := []byte(strings.Repeat(repeat, 1+readBufferBytes/len(repeat)))
+	for {
+		n, err := c.Write(block)
+		total += n
+		if err != nil {
+			return total
+		}
+	}
+}
+
+// Guards against several large replies at a time that together take the memory of
+// the instance.
+func TestLargeRepliesShareMemory(t *testing.T) {
+	memory := NewMemory(100_000)
+	codec := testCodec
+	codec.Memory = memory
+	body := strings.Repeat("x", 150_000)
+	read := func(p *Pool) error {
+		c, err := p.Get(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, reusable, err := c.Call(codec, newRequest("1"), "i-1", time.Now().Add(time.Minute))
+		c.ReleaseOrDiscard(reusable)
+		return err
+	}
+	text := "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Stamp: s\r\nContent-Length: 150000\r\n\r\n" + body
+	if err := read(newPipePool(t, []string{text})); err != nil {
+		t.Fatal(err)
+	}
+	if !memory.take(50_000) {
+		t.Fatal("memory of a reply was not given back")
+	}
+	if err := read(newPipePool(t, []string{text})); !errors.Is(err, ErrReplyTooLarge) {
+		t.Fatalf("got %v beside a large reply", err)
+	}
+	if err := read(newPipePool(t, []string{okReply("1", "a")})); err != nil {
+		t.Fatalf("small reply beside a large one: %v", err)
+	}
+}
--- a/lentilward/conn/pool.go
+++ b/lentilward/conn/pool.go
@@ -75,6 +75,7 @@
 type Conn struct {
 	net.Conn
 	pool        *Pool
+	source      *limitedSource
 	reader      *bufio.Reader
 	writeBuffer []byte
 	idleSince   time.Time
@@ -130,8 +131,9 @@
 		return nil, merry.Prepend(ErrUnreachable, err.Error())
 	}
 	p.Opened.Add(1)
+	source := &limitedSource{conn: raw}
 	return &Conn{
-		Conn: raw, pool: p, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout,
+		Conn: raw, pool: p, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: defaultIdleTimeout,
 	}, nil
 }
 
--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -106,6 +106,10 @@
 	// heapMemoryShare is the share of the machine's memory that the memory limit
 	// of the Go runtime is set to.
 	heapMemoryShare = 0.7
+	// replyMemoryShare is the share of the machine's memory for the replies of
+	// backend servers that are being read. A reply takes up to three times its size
+	// while it grows.
+	replyMemoryShare = 0.1
 )
 
 // Messages
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -305,7 +305,11 @@
 
 // connectCallers connects the HTTP server for callers with the search engine.
 func (g *Gateway) connectCallers() {
-	g.engine = scatter.New(conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply})
+	codec := conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply}
+	if memory := g.options.Load().Memory; memory > 0 {
+		codec.Memory = conn.NewMemory(int64(float64(memory) * replyMemoryShare * (1 << 20)))
+	}
+	g.engine = scatter.New(codec)
 	g.engine.BudgetShare = g.fleet.share
 	g.engine.StartGather = g.links.Gather
 	g.engine.ChooseGatherer = g.pickGatherer
