Send no more calls to a server that says it is leaving

Shown before: with a server that says so in its first reply and whose record does not, the second search went to it as well (TestLeavingServerGetsNoMoreCalls). Only the record in the store took a server out, so an instance that the store or a silent watch keeps in the dark went on calling it.

A reply with the mark now takes the server out of service on this instance at once, as a draining record does, closes its idle connections and wakes the requests that wait for it.

--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -54,6 +54,8 @@
 	Remote bool
 	// outOfService is set while the server must get no new calls.
 	outOfService atomic.Bool
+	// leaving is set once the server has said that it is leaving.
+	leaving atomic.Bool
 	// coldUntil is when the cold start ends, in nanoseconds since processStart.
 	coldUntil atomic.Int64
 	inFlight  atomic.Int32
@@ -96,7 +98,7 @@
 }
 
 // IsOutOfService reports whether the server must get no new calls.
-func (s *Server) IsOutOfService() bool { return s.outOfService.Load() }
+func (s *Server) IsOutOfService() bool { return s.outOfService.Load() || s.leaving.Load() }
 
 // SetCold records that the server is in a cold start until the given time.
 func (s *Server) SetCold(until time.Time) { s.coldUntil.Store(int64(until.Sub(processStart))) }
@@ -111,7 +113,7 @@
 // as a multiple of the median. It returns false if the server can take no call
 // now.
 func (s *Server) expectedCost(now time.Time) (float64, bool) {
-	if s.outOfService.Load() || s.inFlight.Load() >= s.Pool.Limit.Load() {
+	if s.IsOutOfService() || s.inFlight.Load() >= s.Pool.Limit.Load() {
 		return 0, false
 	}
 	s.mu.Lock()
@@ -155,7 +157,7 @@
 func (s *Server) acquireSlot() bool {
 	for {
 		n := s.inFlight.Load()
-		if n >= s.Pool.Limit.Load() || s.outOfService.Load() {
+		if n >= s.Pool.Limit.Load() || s.IsOutOfService() {
 			return false
 		}
 		if s.inFlight.CompareAndSwap(n, n+1) {
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -32,6 +32,22 @@
 		server.setOnReachable(s.wakeNext)
 	}
 	s.servers.Store(&servers)
+	s.wakeAll()
+}
+
+// RecordLeaving takes a server out of service that said in a reply that it is
+// leaving, and wakes all waiters. It reports whether this was not known before.
+func (s *Service) RecordLeaving(server *Server) bool {
+	if server.leaving.Swap(true) {
+		return false
+	}
+	server.Pool.CloseIdle()
+	s.wakeAll()
+	return true
+}
+
+// wakeAll wakes all waiters, since the servers that may take a call have changed.
+func (s *Service) wakeAll() {
 	s.mu.Lock()
 	waiting := len(s.waiters)
 	s.mu.Unlock()
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -310,6 +310,9 @@
 		codec.Memory = conn.NewMemory(int64(float64(memory) * replyMemoryShare * (1 << 20)))
 	}
 	g.engine = scatter.New(codec)
+	g.engine.OnLeaving = func(s *balance.Server) {
+		g.log.Info("backend server says that it is leaving", "id", s.ID, "service", s.Service)
+	}
 	g.engine.BudgetShare = g.fleet.share
 	g.engine.StartGather = g.links.Gather
 	g.engine.ChooseGatherer = g.pickGatherer
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -84,6 +84,9 @@
 // recordResult updates the measurements of the server and the route.
 func (c *call) recordResult(reply *domain.Reply, err error, begin time.Time) {
 	now := time.Now()
+	if reply != nil && reply.Leaving && c.run.parts[c.partIndex].service.RecordLeaving(c.server) {
+		c.run.engine.OnLeaving(c.server)
+	}
 	c.mu.Lock()
 	detached, aborted := c.detached, c.aborted
 	c.mu.Unlock()
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -31,6 +31,8 @@
 type Engine struct {
 	policy atomic.Pointer[Policy]
 	codec  conn.Codec
+	// OnLeaving is called when a server first says that it is leaving.
+	OnLeaving func(*balance.Server)
 	// BudgetShare returns this instance's share of the slack of the retry budget
 	// that all instances use together.
 	BudgetShare func() float64
@@ -48,7 +50,7 @@
 // New returns an engine.
 func New(codec conn.Codec) *Engine {
 	e := &Engine{
-		codec: codec, BudgetShare: func() float64 { return 1 },
+		codec: codec, OnLeaving: func(*balance.Server) {}, BudgetShare: func() float64 { return 1 },
 		ChooseGatherer: func(map[string]int) (netip.AddrPort, string, bool) { return netip.AddrPort{}, "", false },
 	}
 	e.SetPolicy(Policy{})
--- a/lentilward/scatter/run_test.go
+++ b/lentilward/scatter/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -251,3 +252,24 @@
 		}
 	})
 }
+
+// Guards against calls to a server after it has said that it is leaving, whether or
+// not its record says so yet.
+func TestLeavingServerGetsNoMoreCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leaving := &fakeServer{name: "a", respond: func(r *http.Request) (time.Duration, string) {
+			return time.Millisecond, strings.Replace(okReply(r, "stamp-a", paddedRecord("a")), "\r\n", "\r\nServer-Leaving: 1\r\n", 1)
+		}}
+		other := &fakeServer{name: "b", respond: replyAfter("b", time.Millisecond)}
+		shard := newShard(t, "s1", leaving, other)
+		for i := range 20 {
+			a, _, refusal := runTask(t, newTask(searchRoute(1, 1), shard))
+			if refusal != nil || i > 0 && a.Proofs[0] != "stamp-b" {
+				t.Fatalf("search %d: refusal %v, answer %+v", i, refusal, a)
+			}
+		}
+		if n := leaving.callCount(); n != 1 {
+			t.Fatalf("%d calls to a server that said with the first that it is leaving", n)
+		}
+	})
+}
--- a/schema/domain/domain.go
+++ b/schema/domain/domain.go
@@ -151,6 +151,8 @@
 	// Misdirected is true if the request reached a server other than the intended
 	// one.
 	Misdirected bool
+	// Leaving is true if the server is leaving and must get no new requests soon.
+	Leaving bool
 	// ColdFor is the remaining duration of the cold start that the server reports.
 	ColdFor time.Duration
 	// Close is true if the server accepts no further request on the connection.
