Send a server no calls for as long as it asks

A refused call was followed by the next one after 40 ms (overloadCooldown only makes the server dearer), at once where it was the only server of its service (TestServerIsNotCalledDuringItsRetryAfter, 2 calls in 1.4 s beside a sound server; TestRequestWaitsForRetryAfterWithinItsDeadline).

The server now counts as blocked until then. A request that has no other server waits if the pause ends before its deadline, and is refused at once as not run if it does not, with a Retry-After that says when: refusals were capped to 0.5 s, which made callers come back to another refusal. The cap stays for servers that can't be reached, which are probed.

--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -73,8 +73,8 @@
 	consecutiveFailures int
 	probing             bool
 	// probeAt is when to probe the server next. Until blockedUntil it gets no
-	// calls in any case.
-	probeAt, blockedUntil time.Time
+	// calls in any case, and until pausedUntil because it asked for none.
+	probeAt, blockedUntil, pausedUntil time.Time
 	// lastReply is the time of the server's latest reply.
 	lastReply time.Time
 	// onReachable is called once a server that was unreachable is reachable again.
@@ -169,7 +169,7 @@
 // checkBlockedLocked reports whether the server must get no calls, and starts a
 // probe if one is due. The caller holds mu.
 func (s *Server) checkBlockedLocked(now time.Time) bool {
-	if now.Before(s.blockedUntil) {
+	if now.Before(s.blockedUntil) || now.Before(s.pausedUntil) {
 		return true
 	}
 	if s.consecutiveFailures == 0 {
@@ -250,6 +250,23 @@
 	s.addFailureSample(true, now)
 }
 
+// RecordPause records that the server wants no calls until a time.
+func (s *Server) RecordPause(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
+// resumesAt returns until when the server wants no calls, and false if it can't be
+// called for another reason.
+func (s *Server) resumesAt() (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pausedUntil, s.consecutiveFailures == 0 && !s.blockedUntil.After(s.pausedUntil)
+}
+
 // RecordUnreachable records that no connection to the server could be opened.
 func (s *Server) RecordUnreachable(now time.Time) {
 	s.mu.Lock()
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -119,22 +120,40 @@
 	return false
 }
 
-// defaultRetryDelay is the longest delay that RetryAfter returns, and the one it
-// returns if no server is in service.
+// ResumesAt returns the first time at which a server takes calls again that has asked
+// for none, and false if there is no such server.
+func (s *Service) ResumesAt() (at time.Time, ok bool) {
+	for _, server := range s.Servers() {
+		if server.IsOutOfService() {
+			continue
+		}
+		if t, resumes := server.resumesAt(); resumes && (!ok || t.Before(at)) {
+			at, ok = t, true
+		}
+	}
+	return at, ok
+}
+
+// defaultRetryDelay is the longest delay that RetryAfter returns for an unreachable
+// server, and the one it returns if no server is in service.
 const defaultRetryDelay = 500 * time.Millisecond
 
-// RetryAfter returns the time until the next unreachable server is tried again, at
-// least minProbeBackoff and at most defaultRetryDelay.
+// RetryAfter returns the time until the next server that takes no calls is tried
+// again, at least minProbeBackoff.
 func (s *Service) RetryAfter(now time.Time) time.Duration {
-	delay := defaultRetryDelay
+	delay := time.Duration(math.MaxInt64)
 	for _, server := range s.Servers() {
 		if server.IsOutOfService() {
 			continue
 		}
 		server.mu.Lock()
-		delay = min(delay, max(minProbeBackoff, server.blockedUntil.Sub(now), server.probeAt.Sub(now)))
+		probe := min(defaultRetryDelay, max(minProbeBackoff, server.blockedUntil.Sub(now), server.probeAt.Sub(now)))
+		delay = min(delay, max(probe, server.pausedUntil.Sub(now)))
 		server.mu.Unlock()
 	}
+	if delay == math.MaxInt64 {
+		return defaultRetryDelay
+	}
 	return delay
 }
 
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -108,6 +108,9 @@
 		c.server.RecordWrongServer(now)
 	case reply.NotRun:
 		c.server.RecordOverload(now)
+		if reply.RetryAfter > 0 {
+			c.server.RecordPause(now.Add(reply.RetryAfter))
+		}
 	default:
 		elapsed := now.Sub(begin)
 		c.server.RecordReply(c.run.task.State.RelativeLatency(elapsed), !reply.OK(), now)
--- a/lentilward/scatter/conclude.go
+++ b/lentilward/scatter/conclude.go
@@ -27,7 +27,7 @@
 	retryAfter := time.Duration(0)
 	for i := range r.parts {
 		s := r.parts[i].service
-		if s.IsReachable(now) {
+		if at, ok := s.ResumesAt(); s.IsReachable(now) || ok && at.Before(r.deadline) {
 			reachable++
 		} else {
 			retryAfter = max(retryAfter, s.RetryAfter(now))
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -231,6 +231,10 @@
 	case hedge:
 		p.nextCallAt = now.Add(recheckDelay)
 	case !p.service.IsReachable(now):
+		if at, ok := p.service.ResumesAt(); ok && at.After(now) && at.Before(r.deadline) {
+			p.nextCallAt = at
+			return
+		}
 		r.close(p)
 	default:
 		r.stats.Queued++
--- a/lentilward/scatter/run_test.go
+++ b/lentilward/scatter/run_test.go
@@ -273,3 +273,60 @@
 		}
 	})
 }
+
+// Guards against calls to a server that asked to get none for a while.
+func TestServerIsNotCalledDuringItsRetryAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		full := &fakeServer{name: "a", respond: replyWithStatus(503, "Not-Executed: 1\r\nRetry-After: 1.5\r\n")}
+		other := &fakeServer{name: "b", respond: replyAfter("b", time.Millisecond)}
+		shard := newShard(t, "s1", full, other)
+		begin := time.Now()
+		for time.Since(begin) < 1400*time.Millisecond {
+			if _, _, refusal := runTask(t, newTask(searchRoute(1, 1), shard)); refusal != nil {
+				t.Fatal(refusal)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if n := full.callCount(); n != 1 {
+			t.Fatalf("%d calls within the Retry-After of the first", n)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if _, _, refusal := runTask(t, newTask(searchRoute(1, 1), shard)); refusal != nil || full.callCount() != 2 {
+			t.Fatalf("refusal %v, %d calls after the Retry-After", refusal, full.callCount())
+		}
+	})
+}
+
+// Guards against refusing a request that can still be served when the only server
+// takes calls again, and against holding one that can't.
+func TestRequestWaitsForRetryAfterWithinItsDeadline(t *testing.T) {
+	for _, c := range []struct {
+		retryAfter string
+		served     bool
+	}{{"0.3", true}, {"30", false}} {
+		synctest.Test(t, func(t *testing.T) {
+			calls := 0
+			server := &fakeServer{name: "a", respond: func(r *http.Request) (time.Duration, string) {
+				if calls++; calls == 1 {
+					return replyWithStatus(503, "Not-Executed: 1\r\nRetry-After: "+c.retryAfter+"\r\n")(r)
+				}
+				return 0, okReply(r, "stamp-a", paddedRecord("a"))
+			}}
+			shard := newShard(t, "s1", server)
+			for range 2 {
+				begin := time.Now()
+				a, _, refusal := runTask(t, newTask(singleRoute(true), shard))
+				if c.served {
+					if refusal != nil || a.Reply.Proof != "stamp-a" {
+						t.Fatalf("Retry-After %s: refusal %v", c.retryAfter, refusal)
+					}
+					continue
+				}
+				took := time.Since(begin)
+				if refusal == nil || refusal.Outcome != domain.NotRun || took > 10*time.Millisecond || refusal.RetryAfter < 29*time.Second {
+					t.Fatalf("Retry-After %s: %+v after %v", c.retryAfter, refusal, took)
+				}
+			}
+		})
+	}
+}
--- a/schema/domain/domain.go
+++ b/schema/domain/domain.go
@@ -153,6 +153,9 @@
 	Misdirected bool
 	// Leaving is true if the server is leaving and must get no new requests soon.
 	Leaving bool
+	// RetryAfter is how long the server wants no calls from this instance, after it
+	// has refused one; 0 if it did not say so.
+	RetryAfter time.Duration
 	// ColdFor is the remaining duration of the cold start that the server reports.
 	ColdFor time.Duration
 	// Close is true if the server accepts no further request on the connection.
