Hand on changed records in the order of their revisions

What operators could see: a withdrawal that was taken back, or a server that had gone, was there again on one instance, until the next change of that record.

Cause: a mirror merged changes under its lock and handed them on after it. A watch and a fetch from a peer could so hand their records to the directory in the other order, and only the configuration is guarded there, by its version.

A second lock now spans the change and the hand-on. TestChangesAreHandedOnInOrder got revision 2 before 1 without it.

--- a/lentilward/mirror/mirror.go
+++ b/lentilward/mirror/mirror.go
@@ -30,10 +30,14 @@
 // Mirror is a replica of the store's records. It keeps deleted records as
 // tombstones, so that deltas for peers include deletions.
 type Mirror struct {
+	// handOn is held from a change until OnChange has returned, so that changes are
+	// handed on in the order in which they were made.
+	handOn   sync.Mutex
 	mu       sync.Mutex
 	records  map[string]Record
 	revision uint64
-	// OnChange is called with the changed records after each change.
+	// OnChange is called with the changed records after each change. It must not
+	// change the mirror.
 	OnChange func(records []Record)
 }
 
@@ -67,6 +71,8 @@
 // complete since this mirror's revision: the result of a watch from it, or of
 // another mirror's Since.
 func (m *Mirror) Apply(records []Record, revision uint64) {
+	m.handOn.Lock()
+	defer m.handOn.Unlock()
 	m.mu.Lock()
 	changed := m.mergeNewer(records)
 	m.revision = max(m.revision, revision)
@@ -83,6 +89,8 @@
 	for _, r := range records {
 		isListed[r.Key] = true
 	}
+	m.handOn.Lock()
+	defer m.handOn.Unlock()
 	m.mu.Lock()
 	for key, r := range m.records {
 		if !isListed[key] && !r.Deleted && r.Revision <= revision {
--- a/lentilward/mirror/mirror_test.go
+++ b/lentilward/mirror/mirror_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -133,6 +135,36 @@
 	})
 }
 
+// Guards against a record that is handed on after a newer one of the same key: a
+// withdrawal that was taken back, or a server that has gone, would come back.
+func TestChangesAreHandedOnInOrder(t *testing.T) {
+	m := New()
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	var mu sync.Mutex
+	var revisions []uint64
+	m.OnChange = func(records []Record) {
+		if records[0].Revision == 1 {
+			close(entered)
+			<-proceed
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		revisions = append(revisions, records[0].Revision)
+	}
+	var applied sync.WaitGroup
+	applied.Go(func() { m.Apply([]Record{{Key: "a", Revision: 1}}, 1) })
+	<-entered
+	applied.Go(func() { m.Apply([]Record{{Key: "a", Revision: 2, Deleted: true}}, 2) })
+	for range 10_000 {
+		runtime.Gosched()
+	}
+	close(proceed)
+	applied.Wait()
+	if !slices.Equal(revisions, []uint64{1, 2}) {
+		t.Fatalf("revisions handed on: %v", revisions)
+	}
+}
+
 func newTestFollower(s *fakeStore) *Follower {
 	f := NewFollower(New(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	f.MaxWatchWait = 5 * time.Second
