Send a peer all records if it may lack a deletion

What operators could see: on an instance that gets its records from peers, a withdrawal stays in force after it was taken back, or a server stays that has gone, for good.

Cause: a difference between two mirrors tells deletions by tombstones. A mirror that began with a listing, or listed the store after a gap, has no tombstone for what was written and deleted before, but its difference claimed to be complete.

A mirror now knows from which revision on its tombstones are complete; a peer that is further behind gets all records, marked as such, and drops what is not among them.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -242,7 +242,7 @@
 	}
 	g.log.Debug("received records from a peer", "peer", address, "since", since, "revision", delta.Revision, "records", len(delta.Records),
 		"age", delta.Age, "took", time.Since(begunAt))
-	g.mirror.Apply(delta.Records, delta.Revision)
+	g.mirror.Merge(delta.Delta)
 	g.follower.MarkCurrent(delta.Age)
 	g.suspects.Merge(delta.Suspects)
 }
--- a/lentilward/mirror/mirror.go
+++ b/lentilward/mirror/mirror.go
@@ -23,6 +23,8 @@
 	// Revision is the revision up to which the mirror has every change.
 	Revision uint64   `cbor:"revision"`
 	Records  []Record `cbor:"records"`
+	// Whole is set if Records are all records that exist, so that others are deleted.
+	Whole bool `cbor:"whole,omitempty"`
 	// Age is how long ago the revision was last confirmed to be the newest.
 	Age time.Duration `cbor:"age"`
 }
@@ -36,6 +38,8 @@
 	mu       sync.Mutex
 	records  map[string]Record
 	revision uint64
+	// deletionsSince is the revision from which on the tombstones are complete.
+	deletionsSince uint64
 	// OnChange is called with the changed records after each change. It must not
 	// change the mirror.
 	OnChange func(records []Record)
@@ -54,13 +58,14 @@
 	return m.revision
 }
 
-// Since returns the changes after a revision.
+// Since returns the changes after a revision, or all records if not every deletion
+// after it is known.
 func (m *Mirror) Since(revision uint64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := Delta{Revision: m.revision}
+	d := Delta{Revision: m.revision, Whole: revision < m.deletionsSince}
 	for _, r := range m.records {
-		if r.Revision > revision {
+		if d.Whole && !r.Deleted || !d.Whole && r.Revision > revision {
 			d.Records = append(d.Records, r)
 		}
 	}
@@ -68,8 +73,7 @@
 }
 
 // Apply merges changes that bring the mirror up to the revision. They must be
-// complete since this mirror's revision: the result of a watch from it, or of
-// another mirror's Since.
+// complete since this mirror's revision, as the result of a watch from it is.
 func (m *Mirror) Apply(records []Record, revision uint64) {
 	m.handOn.Lock()
 	defer m.handOn.Unlock()
@@ -82,6 +86,15 @@
 	}
 }
 
+// Merge merges the result of another mirror's Since this mirror's revision.
+func (m *Mirror) Merge(d Delta) {
+	if d.Whole {
+		m.MergeListing(d.Records, d.Revision)
+		return
+	}
+	m.Apply(d.Records, d.Revision)
+}
+
 // MergeListing merges a complete listing that began at a revision. Records that are
 // missing from it become deleted, unless they are newer than the revision.
 func (m *Mirror) MergeListing(records []Record, revision uint64) {
@@ -98,7 +111,10 @@
 		}
 	}
 	changed := m.mergeNewer(records)
-	m.revision = max(m.revision, revision)
+	if revision > m.revision {
+		// Records that were written and deleted in between are not known.
+		m.revision, m.deletionsSince = revision, revision
+	}
 	m.mu.Unlock()
 	if len(changed) > 0 {
 		m.OnChange(changed)
--- a/lentilward/mirror/mirror_test.go
+++ b/lentilward/mirror/mirror_test.go
@@ -114,10 +114,7 @@
 			case 3:
 				m.MergeListing(s.list(), s.revision)
 			case 4:
-				peer := mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "peer")]
-				if d := peer.Since(m.Revision()); d.Revision > m.Revision() {
-					m.Apply(d.Records, d.Revision)
-				}
+				m.Merge(mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "peer")].Since(m.Revision()))
 			}
 		}
 		for i, m := range mirrors {
@@ -165,6 +162,46 @@
 	}
 }
 
+// Guards against records that stay for good on an instance that gets its changes from
+// a peer which does not know of their deletion, because it started or listed the store
+// after it.
+func TestMirrorsConvergeThroughPeersAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &fakeStore{records: make(map[string]Record)}
+		mirrors := []*Mirror{New(), New(), New()}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			m := mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "mirror")]
+			key := fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key"))
+			_, exists := s.records[key]
+			switch step := rapid.IntRange(0, 4).Draw(t, "step"); {
+			case step == 0:
+				s.write(key, false)
+			case step == 1 && exists:
+				s.write(key, true)
+			case step == 2 && m.Revision() > 0:
+				m.Apply(s.changesSince(m.Revision()), s.revision)
+			case step == 3:
+				m.MergeListing(s.list(), s.revision)
+			case step == 4:
+				m.Merge(mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "peer")].Since(m.Revision()))
+			}
+		}
+		newest := mirrors[0]
+		for _, m := range mirrors {
+			if m.Revision() > newest.Revision() {
+				newest = m
+			}
+		}
+		want := newest.List("")
+		for i, m := range mirrors {
+			m.Merge(newest.Since(m.Revision()))
+			if got := m.List(""); len(got) != len(want) {
+				t.Fatalf("mirror %d has %v, want %v as at the peer with the same revision", i, got, want)
+			}
+		}
+	})
+}
+
 func newTestFollower(s *fakeStore) *Follower {
 	f := NewFollower(New(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	f.MaxWatchWait = 5 * time.Second
