--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -290,10 +290,10 @@
 // of suspects.
 func (g *Gateway) mergePoisonRequests(records []mirror.Record) {
 	for _, r := range records {
-		if r.Deleted || !strings.HasPrefix(r.Key, platform.PoisonPrefix) {
+		if r.Deleted || !strings.HasPrefix(r.Key, poisonPrefix) {
 			continue
 		}
-		fingerprint, crashes, requests, err := platform.DecodePoison(r.Key, r.Value)
+		fingerprint, crashes, requests, err := decodePoison(r.Key, r.Value)
 		if err != nil {
 			g.log.Error("record of a poison request is malformed", "key", r.Key, "error", err)
 			continue
--- a/lentilward/storeclient.go
+++ b/lentilward/storeclient.go
@@ -77,7 +77,7 @@
 // storePoisonRequest writes a poison request under a lease, so that the record
 // expires after ttl.
 func storePoisonRequest(ctx context.Context, c *platform.Store, request blackboard.SuspectRequest, ttl time.Duration) error {
-	value, err := platform.EncodePoison(request.Crashes, request.Requests)
+	value, err := encodePoison(request.Crashes, request.Requests)
 	if err != nil {
 		return err
 	}
@@ -85,6 +85,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.Commit(ctx, nil, []platform.Write{{Key: platform.PoisonKey(request.Fingerprint), Value: value, Lease: lease}}, nil)
+	_, err = c.Commit(ctx, nil, []platform.Write{{Key: poisonKey(request.Fingerprint), Value: value, Lease: lease}}, nil)
 	return err
 }
