Put the rest of a configuration in force if one part is malformed

Cause: the decoder took a version whole or not at all. The store accepts only valid configurations, so what it refused was the instance's fault.

--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -23,6 +23,9 @@
 	maintenanceInterval = time.Second
 	// defaultDrainPeriod is the drain period if the settings do not have one.
 	defaultDrainPeriod = 3 * time.Second
+	// maxLoggedMalformed bounds the malformed parts of one configuration that are
+	// logged.
+	maxLoggedMalformed = 5
 	// connectionShare is the share of a server's maximum number of connections that
 	// is divided among the instances.
 	connectionShare = 0.9
@@ -224,7 +227,10 @@
 		return
 	}
 	d.configuration = c
-	d.log.Info("configuration in force", "version", c.Version, "revision", r.Revision)
+	d.log.Info("configuration in force", "version", c.Version, "revision", r.Revision, "malformed", len(c.Malformed))
+	for _, err := range c.Malformed[:min(len(c.Malformed), maxLoggedMalformed)] {
+		d.log.Error("part of the configuration is malformed; the rest is in force", "version", c.Version, "error", err)
+	}
 }
 
 func (d *Directory) applyInstance(r mirror.Record) {
--- a/schema/domain/domain.go
+++ b/schema/domain/domain.go
@@ -18,6 +18,8 @@
 	Routes   map[string][]*Route
 	Services map[string]*Service
 	Limits   Limits
+	// Malformed lists the routes and services that could not be decoded whole.
+	Malformed []error
 }
 
 // Match returns the route with the longest prefix that matches host and path, or
