--- a/lentilward/store/watcher.go
+++ b/lentilward/store/watcher.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// watchTimeout is how long one watch call waits for a change.
-	watchTimeout = 20 * time.Second
+	// watchTimeout is how long one watch call waits for a change. With callTimeout it
+	// bounds how long a dead connection goes unnoticed.
+	watchTimeout = 8 * time.Second
 	// maxWatchingInstances bounds the instances that hold a watch. The others
 	// receive changes from their peers and poll at a long interval.
 	maxWatchingInstances = 4
