--- a/lentilward/peer/link.go
+++ b/lentilward/peer/link.go
@@ -14,6 +14,15 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
+const (
+	// writeTimeout bounds the write of one frame. A connection on which a write
+	// times out is closed.
+	writeTimeout = 2 * time.Second
+	// retiredLinkTTL is how long a connection stays open that was given up as
+	// silent, so that gathers that are merely late can still finish on it.
+	retiredLinkTTL = 5 * time.Second
+)
+
 // ErrClosed is returned if there is no connection to a peer, or if it was closed
 // during a call.
 var ErrClosed = merry.Sentinel("connection to peer is closed")
@@ -31,15 +40,6 @@
 	OnSilent func(address netip.AddrPort, silentFor time.Duration)
 }
 
-const (
-	// writeTimeout bounds the write of one frame. A connection on which a write
-	// times out is closed.
-	writeTimeout = 2 * time.Second
-	// retiredLinkTTL is how long a connection stays open that was given up as
-	// silent, so that gathers that are merely late can still finish on it.
-	retiredLinkTTL = 5 * time.Second
-)
-
 // Traffic counts the bytes that were sent to and received from peers.
 type Traffic struct {
 	SentBytes, ReceivedBytes atomic.Int64
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -108,9 +108,6 @@
 		c.server.RecordWrongServer(now)
 	case reply.NotRun:
 		c.server.RecordOverload(now)
-		if reply.RetryAfter > 0 {
-			c.server.RecordPause(now.Add(reply.RetryAfter))
-		}
 	default:
 		elapsed := now.Sub(begin)
 		c.server.RecordReply(c.run.task.State.RelativeLatency(elapsed), !reply.OK(), now)
@@ -118,6 +115,9 @@
 			c.run.task.State.Observe(elapsed)
 		}
 	}
+	if reply != nil && reply.RetryAfter > 0 {
+		c.server.RecordPause(now.Add(reply.RetryAfter))
+	}
 	if reply != nil && reply.ColdFor > 0 {
 		c.server.SetCold(now.Add(reply.ColdFor))
 	}
