Read the age of the records before their revision

A message to a peer told the revision first and then its age. If a newer revision arrived in between, the older one was told with the age of the newer, and a peer took its old records for current.

The age is read first, in gossip and in the reply to a fetch, so that the revision is at least the one that the age is about. TestGossipDoesNotClaimThatAnOlderRevisionIsCurrent failed before (age 0, want 5 s).

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -199,8 +199,10 @@
 	g.suspects.Persist = g.poisonWriter.Enqueue
 	g.peers.MergeSuspects = g.suspects.Merge
 	g.peers.Records = func(since uint64) peer.RecordsReply {
+		// The age is read first, so that the delta is at least as new as what it is about.
+		age := g.follower.Age()
 		delta := g.mirror.Since(since)
-		delta.Age = g.follower.Age()
+		delta.Age = age
 		return peer.RecordsReply{Delta: delta, Suspects: g.suspects.All()}
 	}
 	g.fleet = newFleetSize(g.board, len(g.options.Load().Peers)+1, func() time.Duration { return time.Duration(g.options.Load().RetryBudget.Window) })
--- a/lentilward/member/member_test.go
+++ b/lentilward/member/member_test.go
@@ -254,3 +254,22 @@
 		t.Fatalf("got %+v, want incarnation 6, alive", got)
 	}
 }
+
+// Guards against a message that takes an older revision for the newest because a
+// newer one arrives while the message is put together.
+func TestGossipDoesNotClaimThatAnOlderRevisionIsCurrent(t *testing.T) {
+	table := NewTable(blackboard.New(blackboard.LocalInstance{Name: "a"}), blackboard.Member{Name: "a"}, time.Now)
+	revision, age := uint64(1), 5*time.Second
+	// Each of the two is followed by the arrival of revision 2.
+	table.Revision = func() uint64 {
+		defer func() { revision, age = 2, 0 }()
+		return revision
+	}
+	table.Age = func() time.Duration {
+		defer func() { revision, age = 2, 0 }()
+		return age
+	}
+	if g := table.NextGossip(); g.From.Revision == 1 && g.Age == 0 {
+		t.Fatalf("revision %d was confirmed %v ago, want 5s", g.From.Revision, g.Age)
+	}
+}
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -153,7 +153,9 @@
 		}
 	}
 	slices.SortFunc(pending, func(a, b *entry) int { return cmp.Compare(a.timesSent, b.timesSent) })
-	g := Gossip{From: t.localMember(), Age: t.Age()}
+	// The age is read first, so that the revision is at least the one that it is about.
+	g := Gossip{Age: t.Age()}
+	g.From = t.localMember()
 	for _, e := range pending[:min(len(pending), maxUpdatesPerMessage)] {
 		e.timesSent++
 		g.Updates = append(g.Updates, e.Member)
