Bound attempts to connect to peers and the store by themselves

What operators could see: an instance that pings a peer which does not answer to new connections holds one more socket and goroutine for each ping, for as long as the kernel tries, two minutes, up to its limit of descriptors.

Cause: the HTTP client goes on dialling after the call that needed it has ended, and keeps the late connection for another one, which on a link would be one that may have gone silent meanwhile.

Peers are dialled for 1 s, the store for 1.5 s, whatever function dials, and a late connection to a peer is closed.

--- a/lentilward/gateway_test.go
+++ b/lentilward/gateway_test.go
@@ -96,7 +96,7 @@
 	o.Stop.Grace = duration(time.Second)
 	processCtx, cancelProcess := context.WithCancel(context.Background())
 	stopCtx, requestStop := context.WithCancel(context.Background())
-	g := newGateway(o, newStoreClient(o.Store.Address, dialStore), slog.New(slog.NewTextHandler(io.Discard, nil)), &slog.LevelVar{})
+	g := newGateway(o, newStoreClient(o.Store.Address, (&net.Dialer{}).DialContext), slog.New(slog.NewTextHandler(io.Discard, nil)), &slog.LevelVar{})
 	done := make(chan error, 1)
 	go func() { done <- g.Run(processCtx, stopCtx) }()
 	var stopped bool
--- a/lentilward/main.go
+++ b/lentilward/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -69,7 +70,7 @@
 	level := &slog.LevelVar{}
 	out := newLogWriter(os.Stdout)
 	defer out.Close()
-	g := newGateway(options, newStoreClient(options.Store.Address, dialStore), newLog(options, out, level), level)
+	g := newGateway(options, newStoreClient(options.Store.Address, (&net.Dialer{}).DialContext), newLog(options, out, level), level)
 	go watchSettings(processCtx, path, hangup, func() { g.reload(path) })
 	return g.Run(processCtx, stopCtx)
 }
--- a/lentilward/network_test.go
+++ b/lentilward/network_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // memoryNetwork connects the instances and servers of a test in memory, so that
@@ -18,18 +20,26 @@
 	links     []*memoryLink
 	// refused is set while new connections fail.
 	refused bool
+	// isolated has the hosts that can't reach others or be reached.
+	isolated map[string]bool
 }
 
 func newMemoryNetwork(t *testing.T) *memoryNetwork {
-	n := &memoryNetwork{listeners: make(map[string]*memoryListener)}
-	t.Cleanup(n.close)
+	n := &memoryNetwork{listeners: make(map[string]*memoryListener), isolated: make(map[string]bool)}
+	t.Cleanup(func() {
+		n.close()
+		// Calls in progress end by their timeouts.
+		time.Sleep(time.Minute)
+	})
 	return n
 }
 
 // memoryLink is one connection. The bytes of either side pass through forward.
 type memoryLink struct {
 	silent atomic.Bool
-	ends   [4]net.Conn
+	// hosts are the hosts at both ends.
+	hosts [2]string
+	ends  [4]net.Conn
 }
 
 // memoryListener accepts the connections to one address.
@@ -79,11 +89,17 @@
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		n.mu.Lock()
 		l, refused := n.listeners[address], n.refused
+		target := netip.MustParseAddrPort(address).Addr().String()
+		isolated := n.isolated[host] || n.isolated[target]
 		n.mu.Unlock()
+		if isolated {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		if l == nil || refused {
 			return nil, errUnreachable
 		}
-		link := &memoryLink{}
+		link := &memoryLink{hosts: [2]string{host, target}}
 		link.ends[0], link.ends[1] = net.Pipe()
 		link.ends[2], link.ends[3] = net.Pipe()
 		go link.forward(link.ends[1], link.ends[2])
@@ -140,6 +156,25 @@
 	}
 }
 
+// isolate makes the open connections of a host silent, and new ones hang until rejoin.
+func (n *memoryNetwork) isolate(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isolated[host] = true
+	for _, l := range n.links {
+		if slices.Contains(l.hosts[:], host) {
+			l.silent.Store(true)
+		}
+	}
+}
+
+// rejoin ends the isolation of a host.
+func (n *memoryNetwork) rejoin(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.isolated, host)
+}
+
 // refuseConnections makes all attempts to open a connection fail.
 func (n *memoryNetwork) refuseConnections() {
 	n.mu.Lock()
--- a/lentilward/peer/link.go
+++ b/lentilward/peer/link.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// dialTimeout bounds an attempt to connect to a peer. The HTTP client does not
+	// end one together with the call that needs it.
+	dialTimeout = time.Second
 	// writeTimeout bounds the write of one frame. A connection on which a write
 	// times out is closed.
 	writeTimeout = 2 * time.Second
@@ -53,7 +56,11 @@
 func NewLinks(traffic *Traffic) *Links {
 	l := &Links{traffic: traffic, Dial: (&net.Dialer{}).DialContext, OnSilent: func(netip.AddrPort, time.Duration) {}}
 	l.client = &http.Client{Transport: &http.Transport{
+		// A connection that is opened too late for its call is closed.
+		MaxIdleConnsPerHost: -1,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
 			return l.Dial(ctx, network, address)
 		},
 	}}
--- a/lentilward/reload_test.go
+++ b/lentilward/reload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -39,7 +40,7 @@
 		t.Fatal(err)
 	}
 	level := &slog.LevelVar{}
-	return newGateway(o, newStoreClient(o.Store.Address, dialStore), slog.New(slog.NewTextHandler(io.Discard, nil)), level), path
+	return newGateway(o, newStoreClient(o.Store.Address, (&net.Dialer{}).DialContext), slog.New(slog.NewTextHandler(io.Discard, nil)), level), path
 }
 
 func writeFile(t *testing.T, path, text string) {
--- a/lentilward/storeclient.go
+++ b/lentilward/storeclient.go
@@ -17,18 +17,16 @@
 // dialFunc opens a network connection.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// dialStore opens a connection to the platform's store.
-func dialStore(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: storeDialTimeout}
-	return d.DialContext(ctx, network, address)
-}
-
 // newStoreClient returns the client of the platform's store that all components
 // of an instance share.
 func newStoreClient(address netip.AddrPort, dial dialFunc) *platform.Store {
 	return platform.NewStore(address, &http.Client{Transport: storeTransport{&http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdleStoreConnections, IdleConnTimeout: storeIdleTimeout,
-		DialContext: dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, storeDialTimeout)
+			defer cancel()
+			return dial(ctx, network, address)
+		},
 	}}})
 }
 
--- a/lentilward/wire.go
+++ b/lentilward/wire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"os"
 	"time"
 
@@ -57,7 +58,7 @@
 
 func providePlatform(i do.Injector) {
 	do.Provide(i, func(i do.Injector) (*platform.Store, error) {
-		return newStoreClient(do.MustInvoke[*Options](i).Store.Address, dialStore), nil
+		return newStoreClient(do.MustInvoke[*Options](i).Store.Address, (&net.Dialer{}).DialContext), nil
 	})
 	do.Provide(i, func(i do.Injector) (*store.KeyValue, error) {
 		return store.NewKeyValue(do.MustInvoke[*platform.Store](i)), nil
