--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -69,3 +69,11 @@
 for package in $bubble_packages; do
 	test_or_detector_crash "$package"
 done
+
+echo "== soak"
+soak_folder=$(mktemp -d)
+trap 'rm -rf "$soak_folder"' EXIT
+if ! bin/lentilsoak --seed 1 --for 1m --folder "$soak_folder"; then
+	tail -n 40 "$soak_folder/faults.log" >&2
+	exit 1
+fi
