Let a cancelled drain undo the word of a leaving server; split gateway.go

A server whose record goes from draining back to ready in the same process would have stayed out of service on each instance to which it had said that it is leaving. The change of its record takes that word back; any other change of the record does not (TestLeavingServerReturnsOnlyIfItsDrainIsCancelled).

--- a/lentilsoak/faults.go
+++ b/lentilsoak/faults.go
@@ -9,7 +9,7 @@
 // faultKinds are the names of the faults; injectFault refers to them by index.
 var faultKinds = []string{
 	"kill", "stop", "freeze", "hangup", "store-down", "store-slow", "store-loses-answers", "store-forgets",
-	"store-cut-off", "server-cut-off", "server-reset", "server-trouble", "configuration", "drain",
+	"store-cut-off", "server-cut-off", "server-reset", "server-trouble", "configuration", "drain", "silence",
 }
 
 // injectFault logs and injects a random fault. Every fault ends by itself.
@@ -52,6 +52,9 @@
 		s.publishConfiguration()
 	case 13:
 		s.drainServer(target)
+	case 14:
+		target.proxy.silenceConns()
+		s.injectStoreFault(0, i.storeProxy.silenceConns)
 	}
 }
 
--- a/lentilsoak/proxy.go
+++ b/lentilsoak/proxy.go
@@ -30,6 +30,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// silenced has the connections that are open and forward nothing any more.
+	silenced map[net.Conn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{address: listener.Addr().String(), target: target, conns: make(map[net.Conn]bool)}
+	p := &proxy{address: listener.Addr().String(), target: target, conns: make(map[net.Conn]bool), silenced: make(map[net.Conn]bool)}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -74,10 +76,12 @@
 	p.mu.Lock()
 	delete(p.conns, client)
 	delete(p.conns, upstream)
+	delete(p.silenced, client)
+	delete(p.silenced, upstream)
 	p.mu.Unlock()
 }
 
-func (p *proxy) copy(to io.Writer, from io.Reader) {
+func (p *proxy) copy(to io.Writer, from net.Conn) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -87,6 +91,9 @@
 		for p.mode.Load() == stalling {
 			time.Sleep(proxyDelay)
 		}
+		if p.isSilenced(from) {
+			continue
+		}
 		if p.mode.Load() == delaying {
 			time.Sleep(proxyDelay)
 		}
@@ -96,6 +103,21 @@
 	}
 }
 
+func (p *proxy) isSilenced(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silenced[c]
+}
+
+// silenceConns makes all open connections drop what they receive; new ones work.
+func (p *proxy) silenceConns() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.silenced[c] = true
+	}
+}
+
 // resetConns resets all open connections.
 func (p *proxy) resetConns() {
 	p.mu.Lock()
--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -100,6 +100,9 @@
 // IsOutOfService reports whether the server must get no new calls.
 func (s *Server) IsOutOfService() bool { return s.outOfService.Load() || s.leaving.Load() }
 
+// CancelLeaving puts a server back that has said that it is leaving.
+func (s *Server) CancelLeaving() { s.leaving.Store(false) }
+
 // SetCold records that the server is in a cold start until the given time.
 func (s *Server) SetCold(until time.Time) { s.coldUntil.Store(int64(until.Sub(processStart))) }
 
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -280,6 +280,9 @@
 	if b.Draining && !tracked.Draining {
 		d.log.Info("backend server is draining", "id", b.ID, "service", b.Service, "revision", r.Revision)
 	}
+	if tracked.Draining && !b.Draining {
+		tracked.server.CancelLeaving()
+	}
 	if b.ColdFor > 0 {
 		tracked.server.SetCold(now.Add(b.ColdFor))
 	}
--- a/lentilward/directory/directory_test.go
+++ b/lentilward/directory/directory_test.go
@@ -127,6 +127,23 @@
 	})
 }
 
+// Guards against a server that stays out of service for good after its drain was
+// cancelled, and against one that comes back because its record changed otherwise.
+func TestLeavingServerReturnsOnlyIfItsDrainIsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		td := newTestDirectory(t)
+		td.applyRecords(serverRecord("i-1", nil))
+		service := td.d.Current.Load().Services["a"]
+		service.RecordLeaving(service.Servers()[0])
+		td.applyRecords(serverRecord("i-1", map[string]any{"coldRemainingMs": 5}))
+		td.wantUsable(0, "its record changed after it had said that it is leaving")
+		td.applyRecords(serverRecord("i-1", map[string]any{"state": "draining"}))
+		td.wantUsable(0, "draining")
+		td.applyRecords(serverRecord("i-1", nil))
+		td.wantUsable(1, "ready again")
+	})
+}
+
 // Guards against the removal of a server whose record is deleted and written again
 // within one listing. An instance that listed the store after a mass expiry once
 // lost 50 servers in this way.
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"runtime/debug"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -103,66 +101,6 @@
 	})
 }
 
-// connectStore connects the components that read and write the store.
-func (g *Gateway) connectStore(store *platform.Store) {
-	g.follower.List = func(ctx context.Context, after string) (*mirror.Page, error) {
-		return toMirrorPage(store.Range(ctx, "", after))
-	}
-	g.follower.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*mirror.Page, error) {
-		return toMirrorPage(store.Watch(ctx, "", after, wait))
-	}
-	g.follower.MaxWatchWait = watchWait(time.Duration(g.options.Load().Apply))
-	g.follower.ReadsStore = g.readsStore
-	o := g.options.Load()
-	g.registrar = newRegistrar(store, o.Name, o.Listen.Peers, g.log)
-	g.registrar.IsRegistered = func() bool { return len(g.mirror.List(platform.InstancePrefix+o.Name)) > 0 }
-	g.poisonWriter = suspect.NewPersister(g.log)
-	g.poisonWriter.Write = func(ctx context.Context, request blackboard.SuspectRequest, ttl time.Duration) error {
-		return storePoisonRequest(ctx, store, request, ttl)
-	}
-	g.metrics.RegisterGauge("lentilward_platform_calls", "Calls to the platform.",
-		func() float64 { return float64(store.Calls.Load()) })
-}
-
-// watchWait returns how long a watch may wait for changes, so that one without a
-// reply is cancelled and another call made within the time to apply a configuration.
-func watchWait(apply time.Duration) time.Duration {
-	return min(maxWatchWait, max(minWatchWait, apply-mirror.WatchGracePeriod-applyReserve))
-}
-
-// toMirrorPage converts the page and error of a store call to those that
-// mirror.Follower expects.
-func toMirrorPage(p *platform.Page, err error) (*mirror.Page, error) {
-	if errors.Is(err, platform.ErrCompacted) {
-		return nil, mirror.ErrCompacted
-	}
-	if err != nil {
-		return nil, err
-	}
-	page := &mirror.Page{Revision: p.Revision, More: p.More, Records: make([]mirror.Record, 0, len(p.Items))}
-	for _, i := range p.Items {
-		page.Records = append(page.Records, mirror.Record{
-			Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted,
-		})
-	}
-	return page, nil
-}
-
-// readsStore reports whether this instance reads the store. Only a few instances
-// do, so that the number of calls does not grow with the number of instances.
-// The others get the records from peers, and read the store themselves when
-// their replica is out of date.
-func (g *Gateway) readsStore() bool {
-	uptime := time.Since(g.fleet.started)
-	if g.mirror.Revision() == 0 {
-		return uptime > firstStoreReadDelay || slices.Contains(g.options.Load().Peers, g.options.Load().Listen.Peers)
-	}
-	if g.follower.Age() > maxReplicaAge {
-		return true
-	}
-	return g.board.Members.Load().Rank("store") < storeReaderCount
-}
-
 // connectPeers connects the components that exchange messages with peers.
 func (g *Gateway) connectPeers() {
 	traffic := &peer.Traffic{}
