Answer 404 only from what is applied, not from what has arrived

What callers could see: 404 for an added route at the moment at which an instance that had been behind hears of it.

Cause: the age tells of the records that have arrived. The revision of the mirror was known, and could be confirmed by a peer, before its records were handed on.

The revision of a mirror is known once its changes have been handed on.

--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -78,7 +78,10 @@
 	log          *slog.Logger
 	wake         chan struct{}
 	mu           sync.Mutex
-	pending      []mirror.Record
+	// pending has the queued records; applying is set while records that were taken
+	// from it are being applied.
+	pending  []mirror.Record
+	applying bool
 
 	configuration *domain.Configuration
 	withdrawn     map[string]bool
@@ -183,9 +186,19 @@
 	d.listedAt = now.Add(-d.SinceListing())
 	d.mu.Lock()
 	records := d.pending
-	d.pending = nil
+	d.pending, d.applying = nil, true
 	d.mu.Unlock()
 	d.applyRecords(ctx, records, now)
+	d.mu.Lock()
+	d.applying = false
+	d.mu.Unlock()
+}
+
+// HasPending reports whether records are queued that Current does not show yet.
+func (d *Directory) HasPending() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.pending) > 0 || d.applying
 }
 
 // applyRecords applies records and publishes a new snapshot.
--- a/lentilward/directory/directory_test.go
+++ b/lentilward/directory/directory_test.go
@@ -127,6 +127,30 @@
 	})
 }
 
+// Guards against a snapshot that is taken for current while records are queued.
+func TestHasPendingUntilRecordsAreApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		td := newTestDirectory(t)
+		if td.d.HasPending() {
+			t.Fatal("pending although all records are applied")
+		}
+		pending := false
+		newServer := td.d.NewServer
+		td.d.NewServer = func(b domain.BackendServer) *balance.Server {
+			pending = td.d.HasPending()
+			return newServer(b)
+		}
+		td.d.Enqueue([]mirror.Record{serverRecord("i-1", nil)})
+		if !td.d.HasPending() {
+			t.Error("not pending although a record is queued")
+		}
+		synctest.Wait()
+		if !pending || td.d.HasPending() {
+			t.Errorf("pending %v while the record was being applied, %v after it", pending, td.d.HasPending())
+		}
+	})
+}
+
 // Guards against a server that stays out of service for good after its drain was
 // cancelled, and against one that comes back because its record changed otherwise.
 func TestLeavingServerReturnsOnlyIfItsDrainIsCancelled(t *testing.T) {
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -267,7 +267,9 @@
 		g.suspects.RecordCrashes(context.Background(), suspect.RequestFingerprint(r), uint32(servers))
 	}
 	g.callers.ConfigurationAge = g.follower.Age
-	g.callers.IsConfigurationCurrent = func() bool { return g.follower.Age() < time.Duration(g.options.Load().Apply) }
+	g.callers.IsConfigurationCurrent = func() bool {
+		return g.follower.Age() < time.Duration(g.options.Load().Apply) && !g.directory.HasPending()
+	}
 }
 
 // pickGatherer picks a random alive peer as gatherer, in one of the data centres
--- a/lentilward/mirror/mirror.go
+++ b/lentilward/mirror/mirror.go
@@ -79,11 +79,26 @@
 	defer m.handOn.Unlock()
 	m.mu.Lock()
 	changed := m.mergeNewer(records)
-	m.revision = max(m.revision, revision)
 	m.mu.Unlock()
+	m.publish(changed, revision, false)
+}
+
+// publish hands on changed records, and makes the revision known once that is done.
+// The caller holds handOn.
+func (m *Mirror) publish(changed []Record, revision uint64, whole bool) {
 	if len(changed) > 0 {
 		m.OnChange(changed)
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision <= m.revision {
+		return
+	}
+	m.revision = revision
+	if whole {
+		// Records that were written and deleted in between are not known.
+		m.deletionsSince = revision
+	}
 }
 
 // Merge merges the result of another mirror's Since this mirror's revision.
@@ -111,14 +126,8 @@
 		}
 	}
 	changed := m.mergeNewer(records)
-	if revision > m.revision {
-		// Records that were written and deleted in between are not known.
-		m.revision, m.deletionsSince = revision, revision
-	}
 	m.mu.Unlock()
-	if len(changed) > 0 {
-		m.OnChange(changed)
-	}
+	m.publish(changed, revision, true)
 }
 
 // mergeNewer stores the records that are newer than those of the same key and
--- a/lentilward/mirror/mirror_test.go
+++ b/lentilward/mirror/mirror_test.go
@@ -162,6 +162,23 @@
 	}
 }
 
+// Guards against a revision that counts as known, and is confirmed by peers as the
+// newest, before its records are handed on.
+func TestRevisionIsKnownOnceItsChangesAreHandedOn(t *testing.T) {
+	m := New()
+	m.OnChange = func(records []Record) {
+		if got := m.Revision(); got >= records[0].Revision {
+			t.Errorf("revision %d is known before its change is handed on", got)
+		}
+	}
+	m.MergeListing([]Record{{Key: "a", Revision: 4}}, 4)
+	m.Apply([]Record{{Key: "a", Revision: 5}}, 5)
+	m.MergeListing([]Record{{Key: "a", Revision: 7}}, 7)
+	if m.Revision() != 7 {
+		t.Fatalf("revision %d, want 7", m.Revision())
+	}
+}
+
 // Guards against records that stay for good on an instance that gets its changes from
 // a peer which does not know of their deletion, because it started or listed the store
 // after it.
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -49,8 +49,8 @@
 	log       *slog.Logger
 	stopping  atomic.Bool
 
-	// IsConfigurationCurrent reports whether the configuration in force is known
-	// to be the newest.
+	// IsConfigurationCurrent reports whether the latest snapshot is known to have the
+	// newest configuration.
 	IsConfigurationCurrent func() bool
 	// ConfigurationAge returns how long ago the configuration in force was last
 	// confirmed to be the newest.
@@ -101,7 +101,7 @@
 	snapshot := s.directory.Current.Load()
 	answer, result := s.handle(r, request, snapshot, started)
 	if result.Refusal != nil && result.Refusal.Reason == domain.Abandoned {
-		s.recordResult(request, snapshot, result, 0)
+		s.recordResult(request, result, 0)
 		panic(http.ErrAbortHandler)
 	}
 	if s.stopping.Load() || result.Refusal != nil && result.Refusal.Reason == domain.Malformed {
@@ -121,12 +121,12 @@
 	if _, err := w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		s.log.Info("writing the answer to the caller failed", "request-id", request.ID, "error", err)
 	}
-	s.recordResult(request, snapshot, result, status)
+	s.recordResult(request, result, status)
 }
 
 // recordResult reports the result of a request to OnRequestEnd and logs it: at
 // info level if it was refused or shards are missing, otherwise at debug level.
-func (s *Server) recordResult(request *domain.Request, snapshot *directory.Snapshot, result RequestResult, status int) {
+func (s *Server) recordResult(request *domain.Request, result RequestResult, status int) {
 	s.OnRequestEnd(result)
 	level := slog.LevelDebug
 	if result.Refusal != nil || result.Stats.Missing > 0 {
@@ -146,7 +146,7 @@
 	if result.Refusal != nil {
 		attributes = append(attributes, "reason", result.Refusal.Reason, "outcome", result.Refusal.Outcome,
 			"retry-after", result.Refusal.RetryAfter, "message", result.Refusal.Message)
-		if snapshot != nil {
+		if snapshot := s.directory.Current.Load(); snapshot != nil {
 			attributes = append(attributes, "version", snapshot.Configuration.Version, "configuration-age", s.ConfigurationAge())
 		}
 	}
@@ -186,15 +186,9 @@
 	if refusal := s.readBody(r, request, snapshot); refusal != nil {
 		return nil, refusal
 	}
-	route := matchRoute(snapshot.Configuration, request)
-	if route == nil {
-		if !s.IsConfigurationCurrent() {
-			return nil, &domain.Refusal{
-				Reason: domain.NoConfiguration, RetryAfter: noConfigurationRetryDelay,
-				Message: "no matching route, but the configuration may be out of date",
-			}
-		}
-		return nil, &domain.Refusal{Reason: domain.NoRoute, Message: fmt.Sprintf("no route for host %q and path %q", request.Host, request.Path())}
+	snapshot, route, refusal := s.selectRoute(request)
+	if refusal != nil {
+		return nil, refusal
 	}
 	task := &scatter.Task{Request: request, Route: route, State: snapshot.Routes[route.Name], Begin: started}
 	if len(route.Shards) > 0 {
@@ -214,6 +208,28 @@
 	return task, nil
 }
 
+// selectRoute matches a request against the latest snapshot. It reports that there is
+// no route only if that snapshot is known to be current.
+func (s *Server) selectRoute(request *domain.Request) (*directory.Snapshot, *domain.Route, *domain.Refusal) {
+	for {
+		snapshot := s.directory.Current.Load()
+		if route := matchRoute(snapshot.Configuration, request); route != nil {
+			return snapshot, route, nil
+		}
+		if !s.IsConfigurationCurrent() {
+			return nil, nil, &domain.Refusal{
+				Reason: domain.NoConfiguration, RetryAfter: noConfigurationRetryDelay,
+				Message: "no matching route, but the configuration may be out of date",
+			}
+		}
+		if s.directory.Current.Load() == snapshot {
+			return nil, nil, &domain.Refusal{
+				Reason: domain.NoRoute, Message: fmt.Sprintf("no route for host %q and path %q", request.Host, request.Path()),
+			}
+		}
+	}
+}
+
 // matchRoute returns the route of a request, or nil. The host of a request may
 // include a port.
 func matchRoute(c *domain.Configuration, request *domain.Request) *domain.Route {
--- a/lentilward/web/server_test.go
+++ b/lentilward/web/server_test.go
@@ -173,3 +173,24 @@
 		}
 	}
 }
+
+// Guards against 404 from a snapshot that was replaced while the request was being
+// admitted, or that lacks records which are known but not applied yet.
+func TestUnknownRouteIsMatchedAgainstTheNewestConfiguration(t *testing.T) {
+	s, frontend := newTestServer(t, echoRequest)
+	old := s.directory.Current.Load()
+	next := *old
+	next.Configuration = &domain.Configuration{Routes: map[string][]*domain.Route{"h": {{
+		Name: "r", Prefix: "/b/", Timeout: 5 * time.Second, MaxAttempts: 1, TrafficSplit: []domain.WeightedService{{Service: "a", Weight: 1}},
+	}}}}
+	s.IsConfigurationCurrent = func() bool {
+		s.directory.Current.Store(&next)
+		return true
+	}
+	if got := sendRequest(t, frontend, "GET", "/b/", "q", "").StatusCode; got != http.StatusOK {
+		t.Errorf("status %d for a route that was added while the request was being admitted", got)
+	}
+	if got := sendRequest(t, frontend, "GET", "/c/", "q", "").StatusCode; got != http.StatusNotFound {
+		t.Errorf("status %d for a route that does not exist", got)
+	}
+}
