Let the soak's servers say that they are leaving, and when to come back

A draining server of the soak marks its replies, so that a cancelled drain plays the way back as well; one that sheds asks every other time for 0.8 s without calls.

--- a/lentilsoak/server.go
+++ b/lentilsoak/server.go
@@ -68,9 +68,15 @@
 	if since := s.drainingSince.Load(); since != 0 && time.Since(time.Unix(0, since)) > maxDrainDelay && !s.inStoreFault() {
 		s.ledger.addFinding("server %s received request %s %v after the server was registered as draining", s.id, id, time.Since(time.Unix(0, since)))
 	}
+	if s.drainingSince.Load() != 0 {
+		w.Header().Set(standin.ServerLeavingHeader, "1")
+	}
 	mode := s.mode.Load()
 	if mode == shedding && rand.IntN(2) == 0 {
 		w.Header().Set(standin.NotExecutedHeader, "1")
+		if rand.IntN(2) == 0 {
+			w.Header().Set(standin.RetryAfterHeader, "0.8")
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/lentilstand/platform/wire.go
+++ b/lentilstand/platform/wire.go
@@ -13,6 +13,8 @@
 	ExpectedInstanceHeader = "Expected-Instance"
 	ServerProofHeader      = "Server-Stamp"
 	NotExecutedHeader      = "Not-Executed"
+	ServerLeavingHeader    = "Server-Leaving"
+	RetryAfterHeader       = "Retry-After"
 	PartProofsHeader       = "Part-Stamps"
 	MissingPartsHeader     = "Missing-Parts"
 )
