--- /dev/null
+++ b/lentilward/record_fetcher_test.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against one fetch for each peer that announces the same revision.
+func TestRevisionAnnouncedByManyPeersIsFetchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var revision, fetches atomic.Int64
+		f := newRecordFetcher(func() uint64 { return uint64(revision.Load()) }, func(context.Context, netip.AddrPort) {
+			fetches.Add(1)
+			time.Sleep(10 * time.Millisecond)
+			revision.Store(7)
+		})
+		for i := range 30 {
+			go f.handleAnnouncement(t.Context(), netip.AddrPortFrom(storeAddress.Addr(), uint16(i)), 7)
+		}
+		time.Sleep(time.Second)
+		if n := fetches.Load(); n != 1 {
+			t.Fatalf("%d fetches of one revision", n)
+		}
+	})
+}
