Show that requests run twice after an outage in which leases run out

Cause: claims and stored results of the gRPC face are written under a lease; where leases expire while the store is down, a resend finds no claim.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,7 @@
 	if len(os.Args) != 2 {
 		fatal(fmt.Errorf("usage: standin CASE"))
 	}
-	run, ok := map[string]func(trouble bool) int{"late-stop": lateStop, "grpc-stop": grpcStop}[os.Args[1]]
+	run, ok := map[string]func(trouble bool) int{"late-stop": lateStop, "grpc-stop": grpcStop, "lapse": lapse}[os.Args[1]]
 	if !ok {
 		fatal(fmt.Errorf("unknown case %q", os.Args[1]))
 	}
