Answer requests whose body comes during a planned stop

Cause: readBody set a read deadline for the time of the last answer and cleared it once the body was read. Once the stop has begun, a goroutine of its own sets the deadline, and was not waited for, so that it mostly set it after it had been cleared. At the deadline net/http reported the caller as gone.

Evidence: all 22 ended 5.001 or 5.002 s after SIGTERM, the moment of the last answer, while requests without a body got 504 then; the process ended later. The new test, which stops only the server for callers, lost 40 of 120 requests before, all those whose body came whole during the stop, and none now.

Why this works: nothing is set in advance. Reads of incomplete bodies are interrupted at the last answer, and a lock decides between the interrupt and the end of the body.

--- a/lentilward/stop_test.go
+++ b/lentilward/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -137,6 +138,64 @@
 	})
 }
 
+// Guards against a planned stop that closes the connection of a request that a server has,
+// in place of answering it, since the read deadline for the body outlasted the body (found
+// in a review: LOST). Only the server for callers is stopped here: the engine answers all
+// requests at that same moment, which would make it a race.
+func TestStopAnswersLateRequestsWithBodies(t *testing.T) {
+	// With one processor, a goroutine runs after the one that has started it blocks.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	synctest.Test(t, func(t *testing.T) {
+		p := newMemoryPlatform(t)
+		p.respond = func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(2 * time.Second)
+			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+			w.Header().Set("Server-Stamp", "s")
+		}
+		p.write(t, platform.ConfigurationKey, `{"version":1,"routes":[
+			{"name":"slow","host":"h","prefix":"/slow/","kind":"unsafe","service":"s1","timeoutMs":8000,"targetLatencyMs":400,"maxAttempts":1}],
+			"services":[{"name":"s1","maxConnections":300}]}`)
+		g := p.startInstance(t, 1)
+		time.Sleep(3 * time.Second)
+		begin, lastAnswer := time.Now(), time.Second
+		body := strings.Repeat("x", 300)
+		var pending sync.WaitGroup
+		// send sends a request with its last byte at lastByteAt and the rest earlier.
+		send := func(name string, sendAt, lastByteAt time.Duration, want int) {
+			pending.Go(func() {
+				c, err := p.network.dialFrom("10.0.9.1")(p.ctx, "tcp", g.options.Load().Listen.HTTP.String())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				request := textRequest("POST", "/slow/", name, body, len(body))
+				time.Sleep(time.Until(begin.Add(sendAt)))
+				if lastByteAt > sendAt {
+					if _, err := io.WriteString(c, request[:len(request)-1]); err != nil {
+						t.Errorf("%s: %v", name, err)
+						return
+					}
+					time.Sleep(time.Until(begin.Add(lastByteAt)))
+					request = request[len(request)-1:]
+				}
+				if status, err := exchange(c, request); err != nil || status != want {
+					t.Errorf("%s: status %d, %v after %v, want %d", name, status, err, time.Since(begin), want)
+				}
+			})
+		}
+		for i := 1; i <= 40; i++ {
+			at := time.Duration(i) * 20 * time.Millisecond
+			send(fmt.Sprint("whole at ", at), at, at, http.StatusOK)
+			send(fmt.Sprint("in two pieces at ", at), at, at+50*time.Millisecond, http.StatusOK)
+			ends := lastAnswer - time.Duration(i)*time.Microsecond
+			send(fmt.Sprint("ends at ", ends), at, ends, http.StatusOK)
+		}
+		g.callers.Stop(begin.Add(lastAnswer))
+		pending.Wait()
+	})
+}
+
 // Guards against closing a kept connection just as its next request is read, so that
 // the request is passed on and its answer has nowhere to go (found in an incident at
 // steppeglow-search: LOST).
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -10,8 +10,8 @@
 	"math"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,11 +50,10 @@
 	engine    *scatter.Engine
 	log       *slog.Logger
 	inFlight  atomic.Int32
-	// stopAt is when the last answer must be sent; nil unless the server is stopping.
-	stopAt atomic.Pointer[time.Time]
-	// stopContext ends when the server begins to stop.
-	stopContext context.Context
-	beginStop   context.CancelFunc
+	stopping  atomic.Bool
+	// bodiesContext ends when a stopping server waits for no body any more.
+	bodiesContext context.Context
+	endBodies     context.CancelFunc
 
 	// IsConfigurationCurrent reports whether the latest snapshot is known to have the
 	// newest configuration.
@@ -82,9 +81,9 @@
 
 // New returns a server; its function fields may be replaced before it serves.
 func New(format Format, d *directory.Directory, e *scatter.Engine, log *slog.Logger) *Server {
-	stopContext, beginStop := context.WithCancel(context.Background())
+	bodiesContext, endBodies := context.WithCancel(context.Background())
 	return &Server{
-		stopContext: stopContext, beginStop: beginStop,
+		bodiesContext: bodiesContext, endBodies: endBodies,
 		format: format, directory: d, engine: e, log: log,
 		IsConfigurationCurrent: func() bool { return true }, ConfigurationAge: func() time.Duration { return 0 }, OnRequestEnd: func(RequestResult) {},
 		IsPoison: func(*domain.Request) bool { return false }, RecordServersLost: func(*domain.Request, int) {},
@@ -102,8 +101,8 @@
 // Stop makes the server close each connection after its next answer, and answer each
 // request by lastAnswer at the latest: one whose body is not complete then is refused.
 func (s *Server) Stop(lastAnswer time.Time) {
-	s.stopAt.Store(&lastAnswer)
-	s.beginStop()
+	s.stopping.Store(true)
+	time.AfterFunc(time.Until(lastAnswer), s.endBodies)
 }
 
 // InFlight returns the number of requests in flight.
@@ -153,7 +152,7 @@
 		s.recordResult(request, result, 0)
 		panic(http.ErrAbortHandler)
 	}
-	if s.stopAt.Load() != nil || result.Refusal != nil && result.Refusal.Reason == domain.Malformed {
+	if s.stopping.Load() || result.Refusal != nil && result.Refusal.Reason == domain.Malformed {
 		w.Header().Set("Connection", "close")
 	}
 	var status int
@@ -303,22 +302,14 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	control := http.NewResponseController(w)
-	cancelDeadline := context.AfterFunc(s.stopContext, func() {
-		if err := control.SetReadDeadline(*s.stopAt.Load()); err != nil {
-			s.log.Warn("setting the deadline of a body failed", "request-id", request.ID, "error", err)
-		}
-	})
+	interrupt := bodyInterrupt{control: http.NewResponseController(w)}
+	detach := context.AfterFunc(s.bodiesContext, interrupt.fire)
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if errors.Is(err, os.ErrDeadlineExceeded) && s.stopAt.Load() != nil {
+	detach()
+	if interrupted, failure := interrupt.disarm(); interrupted {
 		return &domain.Refusal{Reason: domain.Stopping, Message: "instance is shutting down; the request body is not complete"}
-	}
-	if !cancelDeadline() {
-		// The connection must stay readable, since a failed read means that the caller
-		// has disconnected.
-		if err := control.SetReadDeadline(time.Time{}); err != nil {
-			return &domain.Refusal{Reason: domain.Abandoned, Message: fmt.Sprintf("reset the deadline of the connection: %v", err)}
-		}
+	} else if failure != nil {
+		s.log.Warn("interrupting the read of a body failed", "request-id", request.ID, "error", failure)
 	}
 	if err != nil {
 		return &domain.Refusal{Reason: domain.Abandoned, Message: fmt.Sprintf("read request body: %v", err)}
@@ -329,3 +320,32 @@
 	request.Body = body
 	return nil
 }
+
+// bodyInterrupt ends the read of a body from another goroutine. Once disarmed it leaves
+// the connection alone: a read that fails later means that the caller has disconnected.
+type bodyInterrupt struct {
+	control *http.ResponseController
+
+	mu              sync.Mutex
+	fired, disarmed bool
+	failure         error
+}
+
+// fire makes the read fail, unless the interrupt has been disarmed.
+func (i *bodyInterrupt) fire() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.disarmed {
+		return
+	}
+	i.failure = i.control.SetReadDeadline(time.Now())
+	i.fired = i.failure == nil
+}
+
+// disarm reports whether the interrupt has fired, and the error of an attempt to.
+func (i *bodyInterrupt) disarm() (fired bool, failure error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.disarmed = true
+	return i.fired, i.failure
+}
