Drop servers that have left in time where the store is not read

Cause: such a deletion counted as a possible mass expiry too long after the outage, since a call that hangs in it fails up to 2.7 s after its end; and an instance that gets its records from peers waited 3 s more for a listing that it is never told of.

Evidence: all seven instances logged the deletion 0.06 s after its acknowledgement, four removed the server after 2.3 s and three after 5.2 s.

Change: the store has returned with the first confirmation newer than the last failed call; live servers register again within 2.2 s of that. A removal that needs a confirmation asks the store with a watch that returns at once, on every instance, and a confirmation by a peer counts. TestMassExpiryIsConfirmedLaterWithoutOwnListing demanded the unconfirmed wait of 3 s; TestMassExpiryIsConfirmedOnRequest, which replaces it, demands a request, no removal before the confirmation, and one right after it.

Why this works: a deletion in a store that has been back for 2.2 s is no longer held back, and any other is confirmed by a call of its own 2.2 s after it was learned.

--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -63,17 +63,13 @@
 	// InstanceCount returns the number of instances that share the connections to
 	// each server.
 	InstanceCount func() int
-	// SinceStoreFailure returns how long ago a call to the store last failed.
-	SinceStoreFailure func() time.Duration
+	// SinceStoreReturn returns how long ago the store was first known to serve again
+	// after calls to it had failed; 0 while it is away.
+	SinceStoreReturn func() time.Duration
 	// RecordAge returns how long ago the store or a peer last confirmed that the
-	// records were up to date.
+	// records were up to date. Confirm requests another confirmation.
 	RecordAge func() time.Duration
-	// SinceListing returns how long ago the last complete listing of the store
-	// began, and Relist requests another. ReadsStore reports whether this
-	// instance reads the store.
-	SinceListing func() time.Duration
-	Relist       func()
-	ReadsStore   func() bool
+	Confirm   func()
 	// NewServer creates the state of a server.
 	NewServer func(domain.BackendServer) *balance.Server
 
@@ -94,9 +90,8 @@
 	services      map[string]*balance.Service
 	routes        map[string]*balance.Route
 	admissions    map[string]*admission.Limit
-	// listedAt is when the last complete listing of the store began whose records
-	// are applied.
-	listedAt time.Time
+	// confirmedAt is when the records that are applied were last confirmed.
+	confirmedAt time.Time
 	// recheckAt is when to check again whether due removals after a possible mass
 	// expiry are confirmed; zero if all are.
 	recheckAt time.Time
@@ -185,12 +180,11 @@
 	}
 }
 
-// applyPending applies the queued records. It sets listedAt before it takes them
-// from the queue, so that a listing confirms removals only once its own records
-// are applied.
+// applyPending applies the queued records. It sets confirmedAt before it takes them
+// from the queue, so that a confirmation counts only once its own records are applied.
 func (d *Directory) applyPending(ctx context.Context) {
 	now := time.Now()
-	d.listedAt = now.Add(-d.SinceListing())
+	d.confirmedAt = now.Add(-d.RecordAge())
 	d.mu.Lock()
 	records := d.pending
 	d.pending, d.applying = nil, true
--- a/lentilward/directory/directory_test.go
+++ b/lentilward/directory/directory_test.go
@@ -21,43 +21,36 @@
 // testDirectory is a directory with the keys and decoders of the platform, whose
 // records and view of the store the tests set.
 type testDirectory struct {
-	t                 *testing.T
-	d                 *Directory
-	revision          uint64
-	sinceStoreFailure atomic.Int64
-	// recordAge is what the directory's RecordAge returns, in nanoseconds.
-	recordAge atomic.Int64
-	// listedAt is when the last complete listing of the store began.
-	listedAt   atomic.Pointer[time.Time]
-	readsStore atomic.Bool
+	t        *testing.T
+	d        *Directory
+	revision uint64
+	// sinceStoreReturn is what the directory's SinceStoreReturn returns, in nanoseconds.
+	sinceStoreReturn atomic.Int64
+	// confirmedAt is when the store or a peer has last confirmed the records.
+	confirmedAt atomic.Pointer[time.Time]
 }
 
-// markListed records a complete listing of the store.
-func (td *testDirectory) markListed() {
+// confirm records that the store or a peer has confirmed the records.
+func (td *testDirectory) confirm() {
 	now := time.Now()
-	td.listedAt.Store(&now)
+	td.confirmedAt.Store(&now)
 }
 
 // newTestDirectory starts a directory on a configuration with the services a and b,
 // of which only a is on a route.
 func newTestDirectory(t *testing.T) *testDirectory {
 	td := &testDirectory{t: t}
-	td.sinceStoreFailure.Store(int64(time.Hour))
-	td.recordAge.Store(int64(time.Hour))
-	td.listedAt.Store(&time.Time{})
+	td.sinceStoreReturn.Store(int64(time.Hour))
+	td.confirm()
 	td.d = New(RecordFormat{
 		ConfigurationKey: platform.ConfigurationKey, ServerPrefix: platform.ServerPrefix,
 		InstancePrefix: platform.InstancePrefix, Configuration: platform.DecodeConfiguration,
 		Server: platform.DecodeServer, Instance: platform.DecodeInstance, Withdrawn: platform.DecodeWithdrawn,
 	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	td.d.InstanceCount = func() int { return 3 }
-	td.readsStore.Store(true)
-	td.d.SinceListing = func() time.Duration { return time.Since(*td.listedAt.Load()) }
-
-	td.d.RecordAge = func() time.Duration { return time.Duration(td.recordAge.Load()) }
-	td.d.Relist = func() {}
-	td.d.ReadsStore = func() bool { return td.readsStore.Load() }
-	td.d.SinceStoreFailure = func() time.Duration { return time.Duration(td.sinceStoreFailure.Load()) }
+	td.d.RecordAge = func() time.Duration { return time.Since(*td.confirmedAt.Load()) }
+	td.d.Confirm = func() {}
+	td.d.SinceStoreReturn = func() time.Duration { return time.Duration(td.sinceStoreReturn.Load()) }
 	td.d.NewServer = func(s domain.BackendServer) *balance.Server {
 		return balance.NewServer(s, conn.NewPool(s.Address), false)
 	}
@@ -175,11 +168,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		td := newTestDirectory(t)
 		td.applyRecords(serverRecord("i-1", nil), serverRecord("i-2", nil))
-		td.sinceStoreFailure.Store(int64(time.Second))
+		td.sinceStoreReturn.Store(0)
 		td.applyRecords(mirror.Record{Key: "servers/i-1", Deleted: true}, mirror.Record{Key: "servers/i-2", Deleted: true},
 			serverRecord("i-1", map[string]any{"sequence": 2}))
 		time.Sleep(massExpiryDelay + 50*time.Millisecond)
-		td.markListed()
+		td.confirm()
 		time.Sleep(time.Second)
 		td.wantUsable(1, "one was written again in the same batch")
 	})
@@ -202,13 +195,13 @@
 	})
 }
 
-// Guards against a listing that confirms the removal of a server although it
-// contains the server's record, which is still queued.
-func TestListingIsAppliedBeforeItConfirmsRemoval(t *testing.T) {
+// Guards against a confirmation that lets a server be removed although it came with the
+// server's record, which is still queued.
+func TestRecordsAreAppliedBeforeTheyConfirmRemovals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		td := newTestDirectory(t)
 		td.applyRecords(serverRecord("i-1", nil), serverRecord("i-2", nil))
-		td.sinceStoreFailure.Store(int64(time.Second))
+		td.sinceStoreReturn.Store(0)
 		td.applyRecords(mirror.Record{Key: "servers/i-1", Deleted: true}, mirror.Record{Key: "servers/i-2", Deleted: true})
 		time.Sleep(massExpiryDelay + 50*time.Millisecond)
 		returned := serverRecord("i-1", nil)
@@ -216,9 +209,9 @@
 		td.d.mu.Lock()
 		td.d.pending = append(td.d.pending, returned)
 		td.d.mu.Unlock()
-		td.markListed()
+		td.confirm()
 		time.Sleep(time.Second)
-		td.wantUsable(1, "one record was in the listing")
+		td.wantUsable(1, "one record came with the confirmation")
 	})
 }
 
@@ -241,49 +234,66 @@
 	synctest.Test(t, func(t *testing.T) {
 		td := newTestDirectory(t)
 		td.applyRecords(serverRecord("i-1", nil), serverRecord("i-2", nil))
-		td.sinceStoreFailure.Store(int64(time.Second))
+		td.sinceStoreReturn.Store(0)
 		td.applyRecords(mirror.Record{Key: "servers/i-1", Deleted: true}, mirror.Record{Key: "servers/i-2", Deleted: true})
 		td.wantUsable(2, "records just deleted after a failure of the store")
 		time.Sleep(time.Second)
 		td.applyRecords(serverRecord("i-1", nil))
 		time.Sleep(5 * time.Second)
-		td.wantUsable(2, "one registered again, no listing since")
-		td.markListed()
+		td.wantUsable(2, "one registered again, not confirmed since")
+		td.confirm()
 		time.Sleep(time.Second)
-		td.wantUsable(1, "the other is missing from the listing")
+		td.wantUsable(1, "the other is still missing")
 	})
 }
 
-// Guards against removing a server before a peer can have listed the store, on an
-// instance that gets its records from peers.
-func TestMassExpiryIsConfirmedLaterWithoutOwnListing(t *testing.T) {
+// Guards against removing a server unconfirmed after a possible mass expiry, and against
+// waiting for a confirmation without a request for one.
+func TestMassExpiryIsConfirmedOnRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		td := newTestDirectory(t)
+		var requests atomic.Int32
+		td.d.Confirm = func() { requests.Add(1) }
 		td.applyRecords(serverRecord("i-1", nil))
-		td.readsStore.Store(false)
-		td.sinceStoreFailure.Store(int64(time.Second))
+		td.sinceStoreReturn.Store(0)
 		td.applyRecords(mirror.Record{Key: "servers/i-1", Deleted: true})
-		time.Sleep(massExpiryDelay + confirmTimeout - time.Second)
-		td.wantUsable(1, "a peer may still report its record")
-		time.Sleep(2 * time.Second)
-		td.wantUsable(0, "no peer has reported its record")
+		time.Sleep(massExpiryDelay - time.Millisecond)
+		td.confirm()
+		if n := requests.Load(); n != 0 {
+			t.Fatalf("%d requests for a confirmation before the removal is due", n)
+		}
+		time.Sleep(8 * time.Second)
+		td.wantUsable(1, "no confirmation since the removal is due")
+		if requests.Load() == 0 {
+			t.Fatal("no request for a confirmation")
+		}
+		td.confirm()
+		time.Sleep(2 * confirmInterval)
+		td.wantUsable(0, "confirmed by the store or a peer")
 	})
 }
 
-// Guards against removing a server unconfirmed, or never, on an instance that
-// cannot reach the store: the age of the records that peers confirmed decides.
-func TestMassExpiryIsConfirmedByPeersWhileStoreIsUnreachable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		td := newTestDirectory(t)
-		td.applyRecords(serverRecord("i-1", nil))
-		td.sinceStoreFailure.Store(int64(time.Second))
-		td.applyRecords(mirror.Record{Key: "servers/i-1", Deleted: true})
-		time.Sleep(massExpiryDelay + confirmTimeout + time.Second)
-		td.wantUsable(1, "records not confirmed by a peer")
-		td.recordAge.Store(int64(500 * time.Millisecond))
-		time.Sleep(time.Second)
-		td.wantUsable(0, "records confirmed by a peer")
-	})
+// Guards against taking the deletion of one server for a mass expiry although the store
+// has been back for longer than live servers need to register again.
+func TestDeletionLongAfterAnOutageIsNoMassExpiry(t *testing.T) {
+	for sinceReturn, removedAfter := range map[time.Duration]time.Duration{
+		massExpiryDelay: 1650 * time.Millisecond, time.Second: 1650 * time.Millisecond,
+		500 * time.Millisecond: massExpiryDelay - 500*time.Millisecond, 0: massExpiryDelay,
+	} {
+		t.Run(sinceReturn.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				td := newTestDirectory(t)
+				td.d.Confirm = td.confirm
+				td.applyRecords(serverRecord("i-1", nil))
+				td.sinceStoreReturn.Store(int64(sinceReturn))
+				td.applyRecords(mirror.Record{Key: "servers/i-1", Deleted: true})
+				time.Sleep(removedAfter - time.Millisecond)
+				td.wantUsable(1, "removal is not due")
+				time.Sleep(2 * confirmInterval)
+				td.wantUsable(0, "removal is due")
+			})
+		})
+	}
 }
 
 // Guards against keeping a stopped server in use after its drain period because its
@@ -295,9 +305,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			td := newTestDirectory(t)
 			td.d.SetDrainPeriod(drain)
-			td.d.Relist = td.markListed
+			td.d.Confirm = td.confirm
 			td.applyRecords(serverRecord("i-1", nil))
-			td.sinceStoreFailure.Store(int64(time.Second))
+			td.sinceStoreReturn.Store(0)
 			td.applyRecords(mirror.Record{Key: "servers/i-1", Deleted: true})
 			td.wantUsable(1, "record just deleted")
 			time.Sleep(drain - propagationDelay)
@@ -320,9 +330,9 @@
 		td.applyRecords(deletions[:4]...)
 		td.wantUsable(8, "half of all records deleted at once")
 		time.Sleep(massExpiryDelay + 10*time.Millisecond)
-		td.markListed()
+		td.confirm()
 		time.Sleep(time.Second)
-		td.wantUsable(4, "removals confirmed by a listing")
+		td.wantUsable(4, "removals confirmed")
 		td.applyRecords(deletions[4])
 		time.Sleep(2 * time.Second)
 		td.wantUsable(3, "a single record deleted")
--- a/lentilward/directory/removal.go
+++ b/lentilward/directory/removal.go
@@ -13,17 +13,10 @@
 	// deleted by a mass expiry: a live server registers again within two seconds.
 	massExpiryDelay = 2200 * time.Millisecond
 	// propagationReservePeriod is the part of the drain period that is reserved for
-	// the deletion to reach this instance, and for the listing that confirms it.
+	// the deletion to reach this instance, and for the call that confirms it.
 	propagationReservePeriod = 650 * time.Millisecond
-	// confirmTimeout is how long after a removal is due an instance that gets its
-	// records from peers waits for one of them to list the store. A record that
-	// is still missing then is taken to be deleted.
-	confirmTimeout = 3 * time.Second
 	// confirmInterval is the interval at which unconfirmed removals are checked.
 	confirmInterval = 100 * time.Millisecond
-	// storeFailurePeriod is how long after a failed call to the store a deletion
-	// counts as a possible mass expiry.
-	storeFailurePeriod = 4 * time.Second
 	// massExpiryShare is the share of all servers whose records have to be deleted
 	// at once to count as a mass expiry, since so many servers do not normally
 	// stop at the same time.
@@ -33,15 +26,22 @@
 	minMassExpiryServers = 3
 )
 
-// scheduleRemovals sets when servers whose records were deleted are due for
-// removal: draining servers at once, others after unannouncedDeletionShare of the
-// drain period, or in a possible mass expiry after boundedMassExpiryDelay.
+// scheduleRemovals sets when servers whose records were deleted are due for removal:
+// draining servers at once, others after a delay.
 func (d *Directory) scheduleRemovals(deleted []*trackedServer, now time.Time) {
 	if len(deleted) == 0 {
 		return
 	}
 	manyDeleted := len(deleted) >= minMassExpiryServers && float64(len(deleted)) >= massExpiryShare*float64(len(d.servers))
-	maybeMassExpiry := manyDeleted || d.SinceStoreFailure() < storeFailurePeriod
+	sinceReturn := d.SinceStoreReturn()
+	maybeMassExpiry := manyDeleted || sinceReturn < massExpiryDelay
+	delay := time.Duration(unannouncedDeletionShare * float64(d.drainPeriod.Load()))
+	switch {
+	case manyDeleted:
+		delay = d.boundedMassExpiryDelay()
+	case maybeMassExpiry:
+		delay = max(delay, d.boundedMassExpiryDelay()-sinceReturn)
+	}
 	for _, tracked := range deleted {
 		// The record may have been written again in the same batch.
 		if !tracked.deleted || !tracked.removeAt.IsZero() {
@@ -49,15 +49,12 @@
 		}
 		tracked.removeAt = now
 		tracked.maybeMassExpiry = maybeMassExpiry && !tracked.Draining
-		switch {
-		case tracked.maybeMassExpiry:
-			tracked.removeAt = now.Add(d.boundedMassExpiryDelay())
-		case !tracked.Draining:
-			tracked.removeAt = now.Add(time.Duration(unannouncedDeletionShare * float64(d.drainPeriod.Load())))
-		}
-		if maybeMassExpiry {
-			d.log.Info("record of a backend server was deleted, possibly by a mass expiry", "id", tracked.ID, "service", tracked.Service)
+		if !tracked.Draining {
+			tracked.removeAt = now.Add(delay)
 		}
+		d.log.Info("record of a backend server was deleted", "id", tracked.ID, "service", tracked.Service, "draining", tracked.Draining,
+			"maybe-mass-expiry", maybeMassExpiry, "deleted", len(deleted), "since-store-return", sinceReturn,
+			"removal-in", tracked.removeAt.Sub(now))
 	}
 }
 
@@ -69,20 +66,15 @@
 }
 
 // isRemovalConfirmed reports whether a server that is due for removal may be removed.
-// After a possible mass expiry, the store or the peers must first confirm that the
+// After a possible mass expiry, the store or a peer must first confirm that the
 // server's record is still missing. Until then the server stays, and its replies
 // to calls decide whether it gets work.
-func (d *Directory) isRemovalConfirmed(tracked *trackedServer, now time.Time) bool {
-	if !tracked.maybeMassExpiry || d.listedAt.After(tracked.removeAt) {
+func (d *Directory) isRemovalConfirmed(tracked *trackedServer) bool {
+	if !tracked.maybeMassExpiry || !d.confirmedAt.Before(tracked.removeAt) {
 		return true
 	}
-	if !d.ReadsStore() {
-		return now.Sub(tracked.removeAt) > confirmTimeout
-	}
-	d.Relist()
-	// If the store does not answer, the records that peers confirm decide, as on
-	// instances that do not read it.
-	return now.Add(-d.RecordAge()).Sub(tracked.removeAt) > confirmTimeout
+	d.Confirm()
+	return false
 }
 
 func (d *Directory) nextRemovalCheck() time.Time {
--- a/lentilward/directory/snapshot.go
+++ b/lentilward/directory/snapshot.go
@@ -17,7 +17,7 @@
 	unconfirmed := false
 	for key, tracked := range d.servers {
 		if !tracked.removeAt.IsZero() && !now.Before(tracked.removeAt) {
-			if d.isRemovalConfirmed(tracked, now) {
+			if d.isRemovalConfirmed(tracked) {
 				d.removeServer(key, tracked, "record deleted or malformed")
 				continue
 			}
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -211,8 +211,7 @@
 		Server: platform.DecodeServer, Instance: platform.DecodeInstance, Withdrawn: platform.DecodeWithdrawn,
 	}, g.log)
 	g.directory.InstanceCount = g.fleet.size
-	g.directory.SinceStoreFailure, g.directory.RecordAge = g.follower.SinceFailure, g.follower.Age
-	g.directory.SinceListing, g.directory.Relist, g.directory.ReadsStore = g.follower.SinceListing, g.follower.Relist, g.readsStore
+	g.directory.SinceStoreReturn, g.directory.RecordAge, g.directory.Confirm = g.follower.SinceReturn, g.follower.Age, g.follower.Confirm
 	g.metrics.RegisterGauge("lentilward_configuration_version", "Version of the configuration in force; 0 without one.", func() float64 {
 		if snapshot := g.directory.Current.Load(); snapshot != nil {
 			return float64(snapshot.Configuration.Version)
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -5,7 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
@@ -29,12 +29,18 @@
 	// idleCheckInterval is the interval at which an instance that does not read
 	// the store checks whether it has to.
 	idleCheckInterval = 250 * time.Millisecond
+	// confirmWait is the wait of a watch that only finds out whether there are changes.
+	confirmWait = time.Millisecond
 )
 
 // ErrCompacted is returned by Watch if the store has compacted the changes after
 // the revision.
 var ErrCompacted = errors.New("store has compacted the changes after the revision")
 
+// errConfirm is the cause of the cancellation of a watch in favour of another one that
+// returns at once.
+var errConfirm = errors.New("a confirmation was requested")
+
 // errWatchTimeout is the cause of the cancellation of a watch that did not return
 // within its wait plus WatchGracePeriod.
 var errWatchTimeout = errors.New("watch did not return in time")
@@ -48,16 +54,17 @@
 
 // Follower keeps a mirror up to date with the store by listing and watching it.
 type Follower struct {
-	mirror *Mirror
-	log    *slog.Logger
-	// currentAt is when the mirror was last confirmed to be up to date, and failedAt
-	// when a call to the store last failed, in nanoseconds since start.
-	currentAt, failedAt atomic.Int64
-	// listedAt is when the last complete listing of the store began, in nanoseconds
-	// since start.
-	listedAt        atomic.Int64
-	relistRequested chan struct{}
-	start           time.Time
+	mirror           *Mirror
+	log              *slog.Logger
+	confirmRequested chan struct{}
+
+	mu sync.Mutex
+	// currentAt is when the mirror was last confirmed to be up to date; zero if never.
+	currentAt time.Time
+	// failedAt is when a call to the store last failed, and isAway is set until a
+	// later confirmation shows that the store serves again; returnedAt is when it did.
+	failedAt, returnedAt time.Time
+	isAway               bool
 
 	// List returns one page of the records whose keys come after a key.
 	List func(ctx context.Context, after string) (*Page, error)
@@ -74,19 +81,19 @@
 // NewFollower returns a follower. List, Watch and MaxWatchWait must be set
 // before Run is called; ReadsStore returns true by default.
 func NewFollower(m *Mirror, log *slog.Logger) *Follower {
-	f := &Follower{mirror: m, log: log, start: time.Now(), relistRequested: make(chan struct{}, 1), ReadsStore: func() bool { return true }}
-	f.listedAt.Store(-int64(time.Hour))
-	f.currentAt.Store(-int64(time.Hour))
-	f.failedAt.Store(-int64(time.Hour))
-	return f
+	return &Follower{mirror: m, log: log, confirmRequested: make(chan struct{}, 1), ReadsStore: func() bool { return true }}
 }
 
 // Run keeps the mirror up to date until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := minBackoff
+	reading := false
 	for ctx.Err() == nil {
-		if !f.ReadsStore() {
-			sleep(ctx, idleCheckInterval)
+		if reads := f.ReadsStore(); reads != reading {
+			reading = reads
+			f.log.Info("reading of the store changed", "reads", reads, "age", f.Age(), "revision", f.mirror.Revision())
+		}
+		if !reading && !f.awaitConfirmRequest(ctx, idleCheckInterval) {
 			continue
 		}
 		begunAt := time.Now()
@@ -98,7 +105,7 @@
 			backoff = minBackoff
 			continue
 		}
-		f.failedAt.Store(int64(time.Since(f.start)))
+		f.recordFailure(begunAt)
 		f.log.Warn("reading the store failed", "error", err, "took", time.Since(begunAt),
 			"revision", f.mirror.Revision(), "age", f.Age(), "pause", backoff)
 		sleep(ctx, backoff/2+rand.N(backoff))
@@ -116,34 +123,66 @@
 	}
 }
 
-// sync watches for changes once, or lists all records if the mirror is empty, if a
-// listing was requested, or if the changes were compacted.
+// awaitConfirmRequest waits for a request by Confirm and reports whether there was one
+// within a duration. The request stays pending.
+func (f *Follower) awaitConfirmRequest(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-f.confirmRequested:
+		f.Confirm()
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// sync watches for changes once, or lists all records if the mirror is empty or if the
+// changes were compacted.
 func (f *Follower) sync(ctx context.Context) error {
 	if f.mirror.Revision() == 0 {
 		return f.listAll(ctx)
 	}
 	// Jitter keeps the watches of several instances from ending together.
 	wait := f.MaxWatchWait - rand.N(f.MaxWatchWait/waitJitterDivisor+1)
-	watchCtx, cancel := context.WithTimeoutCause(ctx, wait+WatchGracePeriod, errWatchTimeout)
-	defer cancel()
-	var relisting atomic.Bool
-	go func() {
-		select {
-		case <-f.relistRequested:
-			relisting.Store(true)
-			cancel()
-		case <-watchCtx.Done():
-		}
-	}()
-	begunAt := time.Now()
-	page, err := f.Watch(watchCtx, f.mirror.Revision(), wait)
-	if relisting.Load() {
-		return f.listAll(ctx)
+	select {
+	case <-f.confirmRequested:
+		wait = confirmWait
+	default:
+	}
+	err := f.watch(ctx, wait)
+	if errors.Is(err, errConfirm) {
+		err = f.watch(ctx, confirmWait)
 	}
 	if errors.Is(err, ErrCompacted) {
 		f.log.Info("store has compacted its history; listing all records", "revision", f.mirror.Revision())
 		return f.listAll(ctx)
 	}
+	return err
+}
+
+// watch waits for changes and applies them. A request by Confirm interrupts it with
+// errConfirm, unless its wait is confirmWait.
+func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
+	timeoutCtx, cancelTimeout := context.WithTimeoutCause(ctx, wait+WatchGracePeriod, errWatchTimeout)
+	defer cancelTimeout()
+	watchCtx, cancel := context.WithCancelCause(timeoutCtx)
+	defer cancel(nil)
+	if wait > confirmWait {
+		go func() {
+			select {
+			case <-f.confirmRequested:
+				cancel(errConfirm)
+			case <-watchCtx.Done():
+			}
+		}()
+	}
+	begunAt := time.Now()
+	page, err := f.Watch(watchCtx, f.mirror.Revision(), wait)
+	if errors.Is(err, ErrCompacted) {
+		return err
+	}
 	if err != nil {
 		return errors.Join(err, context.Cause(watchCtx))
 	}
@@ -153,7 +192,7 @@
 	f.MarkCurrent(max(0, time.Since(begunAt)-wait))
 	if len(page.Records) > 0 {
 		// Changes come in bursts, and every call to the store is billed.
-		sleep(ctx, batchDelay)
+		f.awaitConfirmRequest(ctx, batchDelay)
 	}
 	return nil
 }
@@ -164,7 +203,7 @@
 	var records []Record
 	var revision uint64
 	after := ""
-	begunAt := time.Since(f.start)
+	begunAt := time.Now()
 	for {
 		pageCtx, cancel := context.WithTimeout(ctx, pageTimeout)
 		page, err := f.List(pageCtx, after)
@@ -182,45 +221,69 @@
 		after = page.Records[len(page.Records)-1].Key
 	}
 	f.mirror.MergeListing(records, revision)
-	f.listedAt.Store(int64(begunAt))
-	f.MarkCurrent(time.Since(f.start) - begunAt)
+	f.MarkCurrent(time.Since(begunAt))
 	return nil
 }
 
+// neverAge is the age of records that were never confirmed.
+const neverAge = time.Hour
+
 // Age returns how long ago the mirror was last confirmed to be up to date. An open
 // watch confirms nothing until it returns, since its connection may be dead.
 func (f *Follower) Age() time.Duration {
-	return time.Since(f.start) - time.Duration(f.currentAt.Load())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.currentAt.IsZero() {
+		return neverAge
+	}
+	return time.Since(f.currentAt)
 }
 
 // MarkCurrent records that the mirror was up to date as long ago as age,
 // according to a peer with the same revision. An age above the present one has
 // no effect.
 func (f *Follower) MarkCurrent(age time.Duration) {
-	currentAt := int64(time.Since(f.start) - age)
-	for {
-		old := f.currentAt.Load()
-		if currentAt <= old || f.currentAt.CompareAndSwap(old, currentAt) {
-			return
-		}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	currentAt := time.Now().Add(-age)
+	if !currentAt.After(f.currentAt) {
+		return
+	}
+	f.currentAt = currentAt
+	if f.isAway && currentAt.After(f.failedAt) {
+		f.isAway, f.returnedAt = false, currentAt
 	}
 }
 
-// Relist requests a listing of the whole store, which interrupts the current watch.
-// It takes effect only while this instance reads the store.
-func (f *Follower) Relist() {
-	select {
-	case f.relistRequested <- struct{}{}:
-	default:
+// recordFailure records that a call to the store has failed that began at a time. One
+// that began before the store is known to have returned says nothing new.
+func (f *Follower) recordFailure(begunAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isAway || !begunAt.Before(f.returnedAt) {
+		f.isAway, f.failedAt = true, time.Now()
 	}
 }
 
-// SinceListing returns how long ago the last complete listing of the store began.
-func (f *Follower) SinceListing() time.Duration {
-	return time.Since(f.start) - time.Duration(f.listedAt.Load())
+// SinceReturn returns how long ago the store was first known to serve again after calls
+// to it had failed: 0 while it is away, and neverAge or more if no call has failed.
+func (f *Follower) SinceReturn() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.isAway:
+		return 0
+	case f.returnedAt.IsZero():
+		return neverAge
+	}
+	return time.Since(f.returnedAt)
 }
 
-// SinceFailure returns how long ago a call to the store last failed.
-func (f *Follower) SinceFailure() time.Duration {
-	return time.Since(f.start) - time.Duration(f.failedAt.Load())
+// Confirm makes this instance ask the store at once whether the mirror is up to date,
+// also if it gets its records from peers.
+func (f *Follower) Confirm() {
+	select {
+	case f.confirmRequested <- struct{}{}:
+	default:
+	}
 }
--- a/lentilward/mirror/mirror_test.go
+++ b/lentilward/mirror/mirror_test.go
@@ -355,8 +355,8 @@
 		time.Sleep(time.Second)
 		refused.Store(true)
 		time.Sleep(20 * time.Second)
-		if age := f.Age(); age < 10*time.Second || f.SinceFailure() > 3*time.Second {
-			t.Fatalf("age %v, last failed call %v ago", age, f.SinceFailure())
+		if age := f.Age(); age < 10*time.Second || f.SinceReturn() != 0 {
+			t.Fatalf("age %v, store back for %v", age, f.SinceReturn())
 		}
 		f.MarkCurrent(time.Second)
 		if age := f.Age(); age != time.Second {
@@ -391,23 +391,72 @@
 	})
 }
 
-// Guards against a requested listing that waits for the end of the current watch.
-func TestRelistInterruptsWatch(t *testing.T) {
+// Guards against a requested confirmation that waits for the end of the current watch, or
+// for the pause after one, and against one that an instance that does not read the store
+// never makes.
+func TestConfirmAsksTheStoreAtOnce(t *testing.T) {
+	for name, reads := range map[string]bool{"reads the store": true, "gets records from peers": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeStore{records: make(map[string]Record)}
+				s.write("a", false)
+				f := newTestFollower(s)
+				watch := f.Watch
+				var silent, readsStore atomic.Bool
+				readsStore.Store(true)
+				f.ReadsStore = readsStore.Load
+				f.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*Page, error) {
+					if silent.Load() {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					}
+					return watch(ctx, after, wait)
+				}
+				runFollower(t, f)
+				time.Sleep(time.Second)
+				silent.Store(true)
+				readsStore.Store(reads)
+				time.Sleep(5 * time.Second)
+				silent.Store(false)
+				for _, key := range []string{"b", "c"} {
+					s.write(key, false)
+					f.Confirm()
+					f.Confirm()
+					time.Sleep(20 * time.Millisecond)
+					if got := f.mirror.List(""); got[len(got)-1].Key != key || f.Age() > 20*time.Millisecond || f.SinceReturn() < neverAge {
+						t.Fatalf("mirror has %v, confirmed %v ago, store back for %v", got, f.Age(), f.SinceReturn())
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against an outage of the store that seems to last until a call that began in it
+// has timed out, although a peer has reached the store meanwhile.
+func TestStoreHasReturnedOnceAPeerReachesIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &fakeStore{records: make(map[string]Record)}
-		s.write("a", false)
-		f := newTestFollower(s)
-		f.Watch = func(ctx context.Context, _ uint64, _ time.Duration) (*Page, error) {
-			<-ctx.Done()
-			return nil, ctx.Err()
+		f := NewFollower(New(), slog.New(slog.DiscardHandler))
+		want := func(situation string, want time.Duration) {
+			t.Helper()
+			if got := f.SinceReturn(); got != want {
+				t.Errorf("%s: store back for %v, want %v", situation, got, want)
+			}
 		}
-		runFollower(t, f)
+		want("no failure", neverAge)
+		time.Sleep(time.Minute)
+		f.recordFailure(time.Now().Add(-2 * time.Second))
+		want("a call has failed", 0)
+		f.MarkCurrent(time.Second)
+		want("confirmed before the failure was known", 0)
+		hangingSince := time.Now()
 		time.Sleep(time.Second)
-		s.write("b", false)
-		f.Relist()
-		time.Sleep(100 * time.Millisecond)
-		if got := f.mirror.List(""); len(got) != 2 || f.SinceListing() > 200*time.Millisecond {
-			t.Fatalf("mirror has %v, listed %v ago", got, f.SinceListing())
-		}
+		f.MarkCurrent(300 * time.Millisecond)
+		want("a peer has reached the store since", 300*time.Millisecond)
+		time.Sleep(time.Second)
+		f.recordFailure(hangingSince)
+		want("a call that began before has timed out", 1300*time.Millisecond)
+		f.recordFailure(time.Now().Add(-time.Second))
+		want("a call that began after has failed", 0)
 	})
 }
