Read the store within the time to apply a configuration once no peer confirms it

Cause: an instance that gets its records from peers read the store itself only once they were 4 s old, whatever the bounds; a deletion that it learned so late was held back for another 0.55 of the drain period.

Evidence: in a model of seven instances the survivor, whose connections are sound and whose rank had not changed, had records 3.2 to 4.1 s old at the end of the bound. The new test fails before at all 12 moments of the loss.

Change: the age is bounded by apply and drain, less 0.9 s. The delay of a removal counts from the last confirmation before it became known.

Why this works: changes since the last confirmation are read at the latest 0.9 s before either bound is over, and the check, the call and the removal take less.

--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -87,9 +87,9 @@
 	// firstStoreReadDelay is how long a process that has just started waits for
 	// records from peers before it reads the store.
 	firstStoreReadDelay = 800 * time.Millisecond
-	// maxReplicaAge is the age of the replica above which an instance reads the
-	// store itself.
-	maxReplicaAge = 4 * time.Second
+	// replicaReserve is the part of the time to apply a configuration, and of the drain
+	// period, that is left for reading the store once the replica is out of date.
+	replicaReserve = 900 * time.Millisecond
 	// minGathererShare is the minimum number of shards in the data centre of a
 	// gatherer, as a share of the largest number in any data centre.
 	minGathererShare = 0.7
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -79,10 +79,12 @@
 	log          *slog.Logger
 	wake         chan struct{}
 	mu           sync.Mutex
-	// pending has the queued records; applying is set while records that were taken
-	// from it are being applied.
-	pending  []mirror.Record
-	applying bool
+	// pending has the queued records, and pendingKnownAt when the records were last
+	// confirmed before the first of them came; applying is set while records that were
+	// taken from it are being applied.
+	pending        []mirror.Record
+	pendingKnownAt time.Time
+	applying       bool
 
 	configuration *domain.Configuration
 	withdrawn     map[string]bool
@@ -136,9 +138,14 @@
 // SetRetryBudget sets the retry budget that applies to each service.
 func (d *Directory) SetRetryBudget(budget balance.RetryBudget) { d.retryBudget.Store(&budget) }
 
-// Enqueue queues changed records for Run to apply. It does not block.
+// Enqueue queues changed records for Run to apply. It does not block. RecordAge must not
+// count them as confirmed yet.
 func (d *Directory) Enqueue(records []mirror.Record) {
+	knownAt := time.Now().Add(-d.RecordAge())
 	d.mu.Lock()
+	if len(d.pending) == 0 {
+		d.pendingKnownAt = knownAt
+	}
 	d.pending = append(d.pending, records...)
 	d.mu.Unlock()
 	select {
@@ -186,10 +193,10 @@
 	now := time.Now()
 	d.confirmedAt = now.Add(-d.RecordAge())
 	d.mu.Lock()
-	records := d.pending
+	records, knownAt := d.pending, d.pendingKnownAt
 	d.pending, d.applying = nil, true
 	d.mu.Unlock()
-	d.applyRecords(ctx, records, now)
+	d.applyRecords(ctx, records, knownAt, now)
 	d.mu.Lock()
 	d.applying = false
 	d.mu.Unlock()
@@ -202,8 +209,9 @@
 	return len(d.pending) > 0 || d.applying
 }
 
-// applyRecords applies records and publishes a new snapshot.
-func (d *Directory) applyRecords(ctx context.Context, records []mirror.Record, now time.Time) {
+// applyRecords applies records that became known after knownAt, and publishes a new
+// snapshot.
+func (d *Directory) applyRecords(ctx context.Context, records []mirror.Record, knownAt, now time.Time) {
 	var deleted []*trackedServer
 	for _, r := range records {
 		switch {
@@ -222,7 +230,7 @@
 			}
 		}
 	}
-	d.scheduleRemovals(deleted, now)
+	d.scheduleRemovals(deleted, knownAt, now)
 	d.rebuild(now)
 }
 
--- a/lentilward/directory/directory_test.go
+++ b/lentilward/directory/directory_test.go
@@ -296,6 +296,27 @@
 	}
 }
 
+// Guards against keeping a server that has left for the whole delay when its deletion
+// became known late.
+func TestDeletionLearnedLateIsAppliedWithinDrainPeriod(t *testing.T) {
+	for _, late := range []time.Duration{0, time.Second, 2 * time.Second, 5 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				td := newTestDirectory(t)
+				td.applyRecords(serverRecord("i-1", nil), serverRecord("i-2", nil))
+				time.Sleep(time.Second)
+				td.confirm()
+				deletedAt := time.Now()
+				time.Sleep(late)
+				td.applyRecords(mirror.Record{Key: "servers/i-1", Deleted: true})
+				td.confirm()
+				time.Sleep(max(time.Millisecond, time.Until(deletedAt.Add(defaultDrainPeriod-propagationReservePeriod+time.Millisecond))))
+				td.wantUsable(1, "deleted before the drain period")
+			})
+		})
+	}
+}
+
 // Guards against keeping a stopped server in use after its drain period because its
 // record may have been deleted by a mass expiry. The deletion takes
 // propagationDelay to arrive.
--- a/lentilward/directory/removal.go
+++ b/lentilward/directory/removal.go
@@ -27,15 +27,16 @@
 )
 
 // scheduleRemovals sets when servers whose records were deleted are due for removal:
-// draining servers at once, others after a delay.
-func (d *Directory) scheduleRemovals(deleted []*trackedServer, now time.Time) {
+// draining servers at once, others after a delay. knownAt is when the records were last
+// confirmed before the deletions became known.
+func (d *Directory) scheduleRemovals(deleted []*trackedServer, knownAt, now time.Time) {
 	if len(deleted) == 0 {
 		return
 	}
 	manyDeleted := len(deleted) >= minMassExpiryServers && float64(len(deleted)) >= massExpiryShare*float64(len(d.servers))
 	sinceReturn := d.SinceStoreReturn()
 	maybeMassExpiry := manyDeleted || sinceReturn < massExpiryDelay
-	delay := time.Duration(unannouncedDeletionShare * float64(d.drainPeriod.Load()))
+	delay := d.removalDelay(knownAt, now)
 	switch {
 	case manyDeleted:
 		delay = d.boundedMassExpiryDelay()
@@ -54,10 +55,19 @@
 		}
 		d.log.Info("record of a backend server was deleted", "id", tracked.ID, "service", tracked.Service, "draining", tracked.Draining,
 			"maybe-mass-expiry", maybeMassExpiry, "deleted", len(deleted), "since-store-return", sinceReturn,
-			"removal-in", tracked.removeAt.Sub(now))
+			"known-for", now.Sub(knownAt), "removal-in", tracked.removeAt.Sub(now))
 	}
 }
 
+// removalDelay returns for how long a server is kept whose record was deleted
+// unannounced, between knownAt and now: unannouncedDeletionShare of the drain period,
+// less what this instance has learned late.
+func (d *Directory) removalDelay(knownAt, now time.Time) time.Duration {
+	drain := time.Duration(d.drainPeriod.Load())
+	left := knownAt.Add(drain - propagationReservePeriod).Sub(now)
+	return max(0, min(left, time.Duration(unannouncedDeletionShare*float64(drain))))
+}
+
 // boundedMassExpiryDelay returns massExpiryDelay, shortened if needed so that
 // the removal can be confirmed within the drain period.
 func (d *Directory) boundedMassExpiryDelay() time.Duration {
--- a/lentilward/gateway_store.go
+++ b/lentilward/gateway_store.go
@@ -66,8 +66,19 @@
 	if g.mirror.Revision() == 0 {
 		return uptime > firstStoreReadDelay || slices.Contains(g.options.Load().Peers, g.options.Load().Listen.Peers)
 	}
-	if g.follower.Age() > maxReplicaAge {
+	if g.follower.Age() > g.maxReplicaAge() {
 		return true
 	}
 	return g.board.Members.Load().Rank("store") < storeReaderCount
 }
+
+// maxReplicaAge returns the age of the replica above which every instance reads the store
+// itself, so that changes are in force in time although all that read it were lost at the
+// moment of its last confirmation.
+func (g *Gateway) maxReplicaAge() time.Duration {
+	bound := time.Duration(g.options.Load().Apply)
+	if drain := time.Duration(g.options.Load().Drain); drain > 0 {
+		bound = min(bound, drain)
+	}
+	return max(bound-replicaReserve, bound/2)
+}
--- a/lentilward/replica_test.go
+++ b/lentilward/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/netip"
 	"slices"
 	"testing"
@@ -9,6 +10,7 @@
 	"time"
 
 	standin "lentilward.org/lentilstand/platform"
+	"lentilward.org/platform"
 )
 
 // replicaInstances is the number of instances of the tests below: more than read the
@@ -154,3 +156,40 @@
 		}
 	})
 }
+
+// Guards against an instance that keeps an old configuration, and servers that have left,
+// for seconds too long once all that read the store are lost at the same moment (found in a
+// review: CONFIG and DRAIN).
+func TestInstanceLearnsChangesWhenAllReadersAreLost(t *testing.T) {
+	for step := range 12 {
+		lostAfter := time.Duration(step) * 170 * time.Millisecond
+		t.Run(lostAfter.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newMemoryPlatform(t)
+				fleet := startFleet(t, p)
+				leaving, draining := p.addServers(t, 1)[0], standin.ServerKey("i-drains")
+				p.write(t, draining, string(standin.Server{Service: "s1", Address: "10.9.0.1:80", DataCentre: "z1"}.Record()))
+				time.Sleep(5*time.Second + lostAfter)
+				survivor := slices.IndexFunc(fleet, func(g *Gateway) bool { return !g.readsStore() })
+				for i := range fleet {
+					if i != survivor {
+						p.network.isolate(fmt.Sprintf("10.0.0.%d", i+1))
+					}
+				}
+				time.Sleep(50 * time.Millisecond)
+				p.publishRoutes(t, 2, "/a/", "/b/")
+				p.remove(t, leaving)
+				p.write(t, draining, string(standin.Server{Service: "s1", Address: "10.9.0.1:80", DataCentre: "z1", Draining: true}.Record()))
+				p.write(t, platform.WithdrawnPrefix+"z2", "{}")
+				time.Sleep(min(maxApplyDelay, drainPeriod))
+				g := fleet[survivor]
+				if got := statusOf(g, "/b/"); got != http.StatusOK {
+					t.Errorf("status %d for a route that was added %v ago, age %v", got, maxApplyDelay, g.follower.Age())
+				}
+				if uses(g, leaving) || uses(g, draining) {
+					t.Errorf("a server that has left or drains is used after the drain period, age %v", g.follower.Age())
+				}
+			})
+		})
+	}
+}
