Count requests and replies until their request has ended

Another operator reports bytes without end from a faulty server, which took the memory of the instance that had called it. Replies being read were bounded here, but not what follows: a reply gave its memory back when it was read, although it waits for a merge, a hedge or a caller that does not read; heads of replies and the first 64 KiB of each body were not counted; one faulty server could take all that was counted; a connection kept a copy of its largest request. Callers could send heads of 1 MB on every connection, and bodies, without a common bound.

Change: package memory has one limit for replies (a fifth of the machine) and one for requests (a tenth), counted from the first byte to the end of the request; large messages leave half of it to small ones, and the large replies of one server take a quarter at most while they are read. What has no memory is refused: a body as not run with Retry-After, a part of a search as missing, without blame on the server. Heads end at 64 KiB; a large answer that its caller does not read is given up after 30 s.

The numbers in TestLargeRepliesShareMemory change because all bytes count now; it demands what it did, and the memory of kept replies.

--- a/lentilward/conn/call.go
+++ b/lentilward/conn/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"lentilward.org/lentilward/memory"
 	"lentilward.org/schema/domain"
 )
 
@@ -42,18 +43,23 @@
 	// ReadReply reads one complete reply to a request with this method, and calls
 	// onBody when the body begins.
 	ReadReply func(r *bufio.Reader, method string, onBody func()) (*domain.Reply, error)
-	// Memory bounds the memory of the replies that are being read. nil sets no bound.
-	Memory *Memory
+	// Memory bounds the memory of replies. nil sets no bound.
+	Memory *memory.Limit
 }
 
 // Call sends a request and reads its reply until the deadline of the
 // connection. The request carries the time left until deadline. The result
 // reusable says whether the connection can be reused, and must be passed to
-// ReleaseOrDiscard. Call fails with ErrNotSent, ErrReplyTimeout,
-// ErrIncompleteReply, ErrConnectionReset, ErrReplyTooLarge or ErrReplyMismatch.
-func (c *Conn) Call(codec Codec, r *domain.Request, serverID string, deadline time.Time) (_ *domain.Reply, reusable bool, _ error) {
+// ReleaseOrDiscard. The memory of the reply goes to hold, unless that is nil. Call fails with
+// ErrNotSent, ErrReplyTimeout, ErrIncompleteReply, ErrConnectionReset, ErrReplyTooLarge,
+// ErrReplyMismatch or memory.ErrExhausted.
+func (c *Conn) Call(codec Codec, hold *memory.Hold, r *domain.Request, serverID string, deadline time.Time) (_ *domain.Reply, reusable bool, _ error) {
 	c.writeBuffer = codec.AppendCall(c.writeBuffer[:0], r, serverID, time.Until(deadline))
-	if n, err := c.Write(c.writeBuffer); err != nil {
+	n, err := c.Write(c.writeBuffer)
+	if cap(c.writeBuffer) > maxKeptBufferBytes {
+		c.writeBuffer = nil
+	}
+	if err != nil {
 		if n == 0 {
 			return nil, false, merry.Prepend(ErrNotSent, err.Error())
 		}
@@ -67,7 +73,7 @@
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT):
 			return nil, false, ErrReplyTimeout
-		case errors.Is(err, ErrReplyTooLarge):
+		case errors.Is(err, ErrReplyTooLarge), errors.Is(err, memory.ErrExhausted):
 			return nil, false, err
 		default:
 			return nil, false, c.describeLoss(err)
@@ -78,6 +84,7 @@
 		if !isReplyTo(reply, r) {
 			continue
 		}
+		hold.Adopt(c.source.hold)
 		c.lastRequestID = r.ID
 		c.pool.recordReply()
 		if reply.KeepAlive > 0 {
--- a/lentilward/conn/conn_test.go
+++ b/lentilward/conn/conn_test.go
@@ -5,16 +5,20 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"runtime"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"lentilward.org/lentilward/memory"
 	"lentilward.org/platform"
 	"lentilward.org/schema/domain"
 )
@@ -70,7 +74,7 @@
 	if err := c.SetDeadline(time.Now().Add(time.Second)); err != nil {
 		t.Fatal(err)
 	}
-	reply, reusable, err := c.Call(testCodec, newRequest(id), "i-1", time.Now().Add(time.Second))
+	reply, reusable, err := c.Call(testCodec, nil, newRequest(id), "i-1", time.Now().Add(time.Second))
 	c.ReleaseOrDiscard(reusable)
 	return reply, err
 }
@@ -290,10 +294,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			memory := NewMemory(maxBodyBytes)
+			limit := memory.New(8 * maxBodyBytes)
 			codec := testCodec
-			codec.Memory = memory
-			reply, reusable, err := connection.Call(codec, newRequest("1"), "i-1", time.Now().Add(time.Minute))
+			codec.Memory = limit
+			reply, reusable, err := connection.Call(codec, nil, newRequest("1"), "i-1", time.Now().Add(time.Minute))
 			connection.ReleaseOrDiscard(reusable)
 			if err == nil || reusable {
 				t.Fatalf("got a reply of status %d, %d bytes, reusable %v", reply.Status, len(reply.Body), reusable)
@@ -301,8 +305,8 @@
 			if n := <-sent; n > c.max+3*readBufferBytes+len(c.begin) {
 				t.Fatalf("read %d bytes, want at most %d", n, c.max)
 			}
-			if left := memory.left.Load(); left != maxBodyBytes {
-				t.Fatalf("%d bytes of memory were not given back", maxBodyBytes-left)
+			if n := limit.Used(); n != 0 {
+				t.Fatalf("%d bytes of memory were not given back", n)
 			}
 		})
 	}
@@ -326,34 +330,133 @@
 	}
 }
 
-// Guards against several large replies at a time that together take the memory of
-// the instance.
-func TestLargeRepliesShareMemory(t *testing.T) {
-	memory := NewMemory(100_000)
+// largeReply is the reply to request 1 with a body of n bytes.
+func largeReply(n int) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", n, strings.Repeat("x", n))
+}
+
+// callOnce calls a server that replies with text. What the reply takes goes to hold.
+func callOnce(t *testing.T, limit *memory.Limit, hold *memory.Hold, text string) error {
 	codec := testCodec
-	codec.Memory = memory
-	body := strings.Repeat("x", 150_000)
-	read := func(p *Pool) error {
-		c, err := p.Get(t.Context())
-		if err != nil {
+	codec.Memory = limit
+	c, err := newPipePool(t, []string{text}).Get(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, reusable, err := c.Call(codec, hold, newRequest("1"), "i-1", time.Now().Add(time.Minute))
+	c.ReleaseOrDiscard(reusable)
+	return err
+}
+
+// Guards against large replies that together take the memory of the instance, also once
+// they are read and wait for a slow caller, and against small ones that are kept out.
+func TestLargeRepliesShareMemory(t *testing.T) {
+	limit := memory.New(400_000)
+	var holds []*memory.Hold
+	for range 2 {
+		holds = append(holds, limit.NewHold())
+		if err := callOnce(t, limit, holds[len(holds)-1], largeReply(90_000)); err != nil {
 			t.Fatal(err)
 		}
-		_, reusable, err := c.Call(codec, newRequest("1"), "i-1", time.Now().Add(time.Minute))
-		c.ReleaseOrDiscard(reusable)
-		return err
 	}
-	text := "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Stamp: s\r\nContent-Length: 150000\r\n\r\n" + body
-	if err := read(newPipePool(t, []string{text})); err != nil {
-		t.Fatal(err)
+	if n := limit.Used(); n < 180_000 {
+		t.Fatalf("two replies that are kept count as %d bytes", n)
+	}
+	if err := callOnce(t, limit, nil, largeReply(90_000)); !errors.Is(err, memory.ErrExhausted) {
+		t.Fatalf("got %v beside large replies that are kept", err)
+	}
+	if err := callOnce(t, limit, nil, okReply("1", "a")); err != nil {
+		t.Fatalf("small reply beside large ones: %v", err)
+	}
+	for range 40 {
+		holds = append(holds, limit.NewHold())
+		if err := callOnce(t, limit, holds[len(holds)-1], largeReply(10_000)); err != nil {
+			break
+		}
+	}
+	if n := limit.Used(); n > limit.Max() || n < limit.Max()-11_000 {
+		t.Fatalf("replies of all sizes take %d of %d bytes", n, limit.Max())
 	}
-	if !memory.take(50_000) {
-		t.Fatal("memory of a reply was not given back")
+	for _, h := range holds {
+		h.Release()
 	}
-	if err := read(newPipePool(t, []string{text})); !errors.Is(err, ErrReplyTooLarge) {
-		t.Fatalf("got %v beside a large reply", err)
+	if n := limit.Used(); n != 0 {
+		t.Fatalf("%d bytes were not given back", n)
+	}
+	if err := callOnce(t, limit, nil, largeReply(90_000)); err != nil || limit.Used() != 0 {
+		t.Fatalf("%v, %d bytes in use after others were given back", err, limit.Used())
+	}
+}
+
+// Guards against one faulty server whose replies leave no memory to those of others.
+func TestOneServerTakesAPartOfTheMemory(t *testing.T) {
+	limit := memory.New(4_000_000)
+	codec := testCodec
+	codec.Memory = limit
+	faulty := newPipePool(t)
+	faulty.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+		client, server := net.Pipe()
+		go sendWithoutEnd(server, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n", "x")
+		return client, nil
+	}
+	var pending sync.WaitGroup
+	for range 4 {
+		pending.Go(func() {
+			for range 20 {
+				c, err := faulty.Get(t.Context())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if _, _, err = c.Call(codec, nil, newRequest("1"), "i-1", time.Now().Add(time.Minute)); !errors.Is(err, ErrReplyTooLarge) {
+					t.Errorf("got %v for a reply without end", err)
+				}
+				c.Discard()
+			}
+		})
+	}
+	for range 50 {
+		if err := callOnce(t, limit, nil, largeReply(900_000)); err != nil {
+			t.Errorf("reply of another server: %v", err)
+		}
+	}
+	pending.Wait()
+	if limit.Used() != 0 || faulty.largeReplies.Load() != 0 {
+		t.Fatalf("%d and %d bytes were not given back", limit.Used(), faulty.largeReplies.Load())
+	}
+}
+
+// Guards against idle connections that each keep the body of their last request.
+func TestIdleConnectionKeepsNoLargeRequest(t *testing.T) {
+	p := newPipePool(t)
+	p.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			defer server.Close()
+			r, err := http.ReadRequest(bufio.NewReader(server))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				t.Error(err)
+				return
+			}
+			io.WriteString(server, okReply("1", "a"))
+		}()
+		return client, nil
+	}
+	c, err := p.Get(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	request := newRequest("1")
+	request.Method, request.Body = "POST", bytes.Repeat([]byte("x"), 1<<20)
+	if _, _, err := c.Call(testCodec, nil, request, "i-1", time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
 	}
-	if err := read(newPipePool(t, []string{okReply("1", "a")})); err != nil {
-		t.Fatalf("small reply beside a large one: %v", err)
+	if n := cap(c.writeBuffer); n > maxKeptBufferBytes {
+		t.Fatalf("an idle connection keeps %d bytes of its last request", n)
 	}
 }
 
--- a/lentilward/conn/limits.go
+++ b/lentilward/conn/limits.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"sync/atomic"
+
+	"lentilward.org/lentilward/memory"
 )
 
 const (
@@ -10,55 +12,45 @@
 	maxHeadBytes = 64 << 10
 	// maxBodyBytes bounds the body of a reply.
 	maxBodyBytes = 16 << 20
-	// freeBytes is the part of a body that is not counted in Memory.
-	freeBytes = 64 << 10
+	// serverShareDivisor bounds the share of the memory that the large replies of one
+	// server take while they are read, so that one faulty server leaves some to others.
+	serverShareDivisor = 4
+	// maxKeptBufferBytes is the size up to which a connection keeps the buffer of its
+	// last request.
+	maxKeptBufferBytes = 16 << 10
 )
 
-// Memory bounds the memory of all the replies that are being read. The first bytes
-// of each reply are free, so that large replies don't keep small ones out.
-type Memory struct{ left atomic.Int64 }
-
-// NewMemory returns a bound of this many bytes.
-func NewMemory(bytes int64) *Memory {
-	m := &Memory{}
-	m.left.Store(bytes)
-	return m
-}
-
-func (m *Memory) take(bytes int64) bool {
-	if m.left.Add(-bytes) >= 0 {
-		return true
-	}
-	m.left.Add(bytes)
-	return false
-}
-
-// limitedSource reads the bytes of one connection and fails with ErrReplyTooLarge
-// when a reply exceeds a limit: a server may send bytes without end.
+// limitedSource reads the bytes of one connection and fails with ErrReplyTooLarge or
+// memory.ErrExhausted when a reply exceeds a limit: a server may send bytes without end.
 type limitedSource struct {
 	conn io.Reader
 	// left is how many more bytes the present part of the reply may have.
 	left int64
-	// uncounted is how many more bytes are not counted in memory, and taken how many
-	// were.
-	uncounted, taken int64
-	memory           *Memory
+	// hold is the memory of the reply, of which large is counted in large replies of the
+	// server as well.
+	hold         *memory.Hold
+	limit        *memory.Limit
+	large        int64
+	largeReplies *atomic.Int64
 }
 
-// expectHead sets the limits for the head of a reply.
-func (s *limitedSource) expectHead(memory *Memory) {
-	s.left, s.uncounted, s.memory = maxHeadBytes, maxHeadBytes, memory
+// expectHead sets the limits for the head of a reply. What was read before is given back.
+func (s *limitedSource) expectHead(limit *memory.Limit) {
+	s.release()
+	s.left, s.limit = maxHeadBytes, limit
+	if s.hold == nil {
+		s.hold = limit.NewHold()
+	}
 }
 
 // expectBody sets the limits for the body of a reply.
-func (s *limitedSource) expectBody() { s.left, s.uncounted = maxBodyBytes, freeBytes }
+func (s *limitedSource) expectBody() { s.left = maxBodyBytes }
 
 // release gives back the memory taken for a reply.
 func (s *limitedSource) release() {
-	if s.taken > 0 {
-		s.memory.left.Add(s.taken)
-		s.taken = 0
-	}
+	s.hold.Empty()
+	s.largeReplies.Add(-s.large)
+	s.large = 0
 }
 
 // Read reads from the connection within the limits.
@@ -69,14 +61,17 @@
 	b = b[:min(int64(len(b)), s.left)]
 	n, err := s.conn.Read(b)
 	s.left -= int64(n)
-	s.uncounted -= int64(n)
-	if s.uncounted < 0 && s.memory != nil {
-		over := -s.uncounted
-		s.uncounted = 0
-		if !s.memory.take(over) {
+	if s.hold == nil || n == 0 {
+		return n, err
+	}
+	if failure := s.hold.Take(int64(n)); failure != nil {
+		return 0, failure
+	}
+	if s.limit != nil && s.hold.Bytes() > memory.SmallBytes {
+		s.large += int64(n)
+		if s.largeReplies.Add(int64(n)) > s.limit.Max()/serverShareDivisor {
 			return 0, ErrReplyTooLarge
 		}
-		s.taken += over
 	}
 	return n, err
 }
--- a/lentilward/conn/pool.go
+++ b/lentilward/conn/pool.go
@@ -51,6 +51,9 @@
 	// Dial opens a connection.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
+	// largeReplies is the number of bytes of large replies that are being read.
+	largeReplies atomic.Int64
+
 	mu sync.Mutex
 	// idle has the free connections, the most recently used one last.
 	idle   []*Conn
@@ -177,7 +180,7 @@
 		return nil, merry.Prepend(ErrUnreachable, err.Error())
 	}
 	p.Opened.Add(1)
-	source := &limitedSource{conn: raw}
+	source := &limitedSource{conn: raw, largeReplies: &p.largeReplies}
 	return &Conn{
 		Conn: raw, pool: p, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: defaultIdleTimeout,
 	}, nil
--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -121,10 +121,13 @@
 	// heapMemoryShare is the share of the machine's memory that the memory limit
 	// of the Go runtime is set to.
 	heapMemoryShare = 0.7
-	// replyMemoryShare is the share of the machine's memory for the replies of
-	// backend servers that are being read. A reply takes up to three times its size
-	// while it grows.
-	replyMemoryShare = 0.1
+	// replyMemoryShare, requestMemoryShare and peerMemoryShare are the shares of the
+	// machine's memory for the replies of backend servers, for the requests of callers
+	// and for the messages of peers. A message takes up to three times its size while it
+	// grows or is decoded.
+	replyMemoryShare   = 0.2
+	requestMemoryShare = 0.1
+	peerMemoryShare    = 0.05
 )
 
 // Messages
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -16,6 +16,7 @@
 	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/directory"
 	"lentilward.org/lentilward/member"
+	"lentilward.org/lentilward/memory"
 	"lentilward.org/lentilward/mirror"
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/peer"
@@ -253,13 +254,20 @@
 	}
 }
 
+// newMemory returns a limit of a share of the machine's memory; nil if the settings don't
+// give that.
+func (g *Gateway) newMemory(share float64) *memory.Limit {
+	mib := g.options.Load().Memory
+	if mib <= 0 {
+		return nil
+	}
+	return memory.New(int64(float64(mib) * share * (1 << 20)))
+}
+
 // connectCallers connects the HTTP server for callers with the search engine.
 func (g *Gateway) connectCallers() {
-	codec := conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply}
-	if memory := g.options.Load().Memory; memory > 0 {
-		codec.Memory = conn.NewMemory(int64(float64(memory) * replyMemoryShare * (1 << 20)))
-	}
-	g.engine = scatter.New(codec)
+	replies := g.newMemory(replyMemoryShare)
+	g.engine = scatter.New(conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply, Memory: replies})
 	g.engine.OnLeaving = func(s *balance.Server) {
 		g.log.Info("backend server says that it is leaving", "id", s.ID, "service", s.Service)
 	}
@@ -274,6 +282,7 @@
 		DecodeRequest: platform.DecodeRequest, EncodeAnswer: platform.EncodeAnswer,
 		EncodeRefusal: platform.EncodeRefusal,
 	}, g.directory, g.engine, g.log)
+	g.callers.Memory = g.newMemory(requestMemoryShare)
 	g.callers.IsPoison = func(r *domain.Request) bool { return g.suspects.IsPoison(suspect.RequestFingerprint(r)) }
 	g.callers.RecordServersLost = func(r *domain.Request, servers int) {
 		g.log.Warn("connections to backend servers were lost during a request", "request-id", r.ID, "servers", servers)
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return merry.Wrap(err)
 	}
-	go func() { failed <- callers.Serve(callerListener) }()
+	go func() { failed <- callers.Serve(g.callers.Limit(callerListener)) }()
 	for _, l := range []struct {
 		address netip.AddrPort
 		server  *http.Server
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -8,6 +8,7 @@
 
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/conn"
+	"lentilward.org/lentilward/memory"
 	"lentilward.org/schema/domain"
 )
 
@@ -65,7 +66,7 @@
 	}
 	sentAt := time.Now()
 	c.sentAt.Store(&sentAt)
-	reply, reusable, err := connection.Call(c.run.engine.codec, c.run.task.Request, c.server.ID, c.run.callDeadline)
+	reply, reusable, err := connection.Call(c.run.engine.codec, c.run.task.Hold, c.run.task.Request, c.server.ID, c.run.callDeadline)
 	c.mu.Lock()
 	c.conn = nil
 	c.mu.Unlock()
@@ -115,7 +116,7 @@
 		if !detached {
 			c.server.RecordUnreachable(now)
 		}
-	case errors.Is(err, conn.ErrConnectionLimit), errors.Is(err, conn.ErrNotSent):
+	case errors.Is(err, conn.ErrConnectionLimit), errors.Is(err, conn.ErrNotSent), errors.Is(err, memory.ErrExhausted):
 	case errors.Is(err, conn.ErrReplyTimeout):
 		c.server.Pool.RecordReplyTimeout(c.begin)
 		c.server.RecordReplyTimeout(c.begin, now)
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -12,6 +12,7 @@
 	"lentilward.org/lentilward/admission"
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/conn"
+	"lentilward.org/lentilward/memory"
 	"lentilward.org/schema/domain"
 )
 
@@ -67,6 +68,9 @@
 	return e
 }
 
+// NewHold returns the hold of one request, which its replies share.
+func (e *Engine) NewHold() *memory.Hold { return e.codec.Memory.NewHold() }
+
 // SetPolicy replaces the policy for later requests.
 func (e *Engine) SetPolicy(p Policy) { e.policy.Store(&p) }
 
@@ -92,6 +96,8 @@
 	Admission *admission.Limit
 	// Begin is when the request arrived.
 	Begin time.Time
+	// Hold gets the memory of the replies; nil releases it as soon as they are read.
+	Hold *memory.Hold
 }
 
 // Stats counts the work done to answer a request. Missing is the number of
--- a/lentilward/scatter/gather.go
+++ b/lentilward/scatter/gather.go
@@ -58,9 +58,11 @@
 	route := &domain.Route{
 		Name: g.Route, Idempotent: true, MaxAttempts: 1, Priority: g.Rank, MaxRecords: g.Results, Shards: g.Services,
 	}
+	hold := e.NewHold()
+	defer hold.Release()
 	request := *g.Request
 	request.TimeLeft = g.TimeLeft
-	r := newRun(ctx, e, Task{Request: &request, Route: route, State: state, Admission: admission, Services: services, Begin: begin})
+	r := newRun(ctx, e, Task{Request: &request, Route: route, State: state, Admission: admission, Services: services, Begin: begin, Hold: hold})
 	defer r.finish()
 	r.gather(ctx, begin.Add(g.HedgeAfter), emit)
 }
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -7,6 +7,7 @@
 
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/conn"
+	"lentilward.org/lentilward/memory"
 	"lentilward.org/schema/domain"
 )
 
@@ -262,7 +263,8 @@
 		if errors.Is(result.err, conn.ErrIncompleteReply) || errors.Is(result.err, conn.ErrConnectionReset) {
 			r.stats.ConnectionsLost++
 		}
-		if !r.task.Route.Idempotent {
+		// Another call would find no memory either.
+		if !r.task.Route.Idempotent || errors.Is(result.err, memory.ErrExhausted) {
 			r.close(p)
 			return
 		}
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -17,6 +17,7 @@
 
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/directory"
+	"lentilward.org/lentilward/memory"
 	"lentilward.org/lentilward/scatter"
 	"lentilward.org/schema/domain"
 )
@@ -30,6 +31,15 @@
 	// defaultMaxBodyBytes bounds the body of a request where the configuration
 	// has no limit.
 	defaultMaxBodyBytes = 1 << 20
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	// largeAnswerBytes is the size from which on an answer may have to wait until its
+	// caller reads, and answerWriteTimeout how long it then waits.
+	largeAnswerBytes   = 64 << 10
+	answerWriteTimeout = 30 * time.Second
+	// memoryRetryDelay is the Retry-After of requests that are refused because there is
+	// no memory for their bodies.
+	memoryRetryDelay = 200 * time.Millisecond
 	// noConfigurationRetryDelay is the Retry-After of refusals because of a
 	// configuration that is missing, may be out of date, or gives the route no
 	// service.
@@ -55,6 +65,8 @@
 	bodiesContext context.Context
 	endBodies     context.CancelFunc
 
+	// Memory bounds the bytes of the requests that are held. nil sets no bound.
+	Memory *memory.Limit
 	// IsConfigurationCurrent reports whether the latest snapshot is known to have the
 	// newest configuration.
 	IsConfigurationCurrent func() bool
@@ -93,7 +105,7 @@
 // HTTP returns the HTTP server that serves callers.
 func (s *Server) HTTP() *http.Server {
 	return &http.Server{
-		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withHold,
 		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
 }
@@ -141,12 +153,15 @@
 	started := time.Now()
 	defer s.inFlight.Add(-1)
 	stopped := s.inFlight.Add(1) <= 0
+	defer requestHold(r).Empty()
+	replies := s.engine.NewHold()
+	defer replies.Release()
 	request := s.format.DecodeRequest(r)
 	snapshot := s.directory.Current.Load()
 	var answer *domain.Answer
 	result := RequestResult{Refusal: &domain.Refusal{Reason: domain.Stopping, Message: "instance has stopped"}}
 	if !stopped {
-		answer, result = s.handle(w, r, request, snapshot, started)
+		answer, result = s.handle(w, r, request, snapshot, replies, started)
 	}
 	if result.Refusal != nil && result.Refusal.Reason == domain.Abandoned {
 		s.recordResult(request, result, 0)
@@ -166,12 +181,32 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	w.WriteHeader(status)
-	if _, err := w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+	if err := writeBody(w, body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		s.log.Info("writing the answer to the caller failed", "request-id", request.ID, "error", err)
 	}
 	s.recordResult(request, result, status)
 }
 
+// writeBody writes the body of an answer. A caller that does not read a large one must not
+// keep its memory.
+func writeBody(w http.ResponseWriter, body []byte) error {
+	if len(body) <= largeAnswerBytes {
+		_, err := w.Write(body)
+		return err
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetWriteDeadline(time.Now().Add(answerWriteTimeout)); err != nil {
+		return err
+	}
+	if _, err := w.Write(body); err != nil {
+		return err
+	}
+	if err := control.Flush(); err != nil {
+		return err
+	}
+	return control.SetWriteDeadline(time.Time{})
+}
+
 // recordResult reports the result of a request to OnRequestEnd and logs it: at
 // info level if it was refused or shards are missing, otherwise at debug level.
 func (s *Server) recordResult(request *domain.Request, result RequestResult, status int) {
@@ -202,7 +237,7 @@
 }
 
 // handle validates a request, refuses it if it is a poison request, and runs it.
-func (s *Server) handle(w http.ResponseWriter, r *http.Request, request *domain.Request, snapshot *directory.Snapshot, started time.Time) (*domain.Answer, RequestResult) {
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, request *domain.Request, snapshot *directory.Snapshot, replies *memory.Hold, started time.Time) (*domain.Answer, RequestResult) {
 	task, refusal := s.admit(w, r, request, snapshot, started)
 	if refusal != nil {
 		return nil, RequestResult{Duration: time.Since(started), Refusal: refusal}
@@ -213,6 +248,7 @@
 			Message: "connections to backend servers were lost during earlier runs of this request",
 		}}
 	}
+	task.Hold = replies
 	answer, stats, refusal := s.engine.Run(r.Context(), *task)
 	if refusal != nil && stats.ConnectionsLost > 0 {
 		s.RecordServersLost(request, stats.ConnectionsLost)
@@ -311,6 +347,9 @@
 	} else if failure != nil {
 		s.log.Warn("interrupting the read of a body failed", "request-id", request.ID, "error", failure)
 	}
+	if errors.Is(err, memory.ErrExhausted) {
+		return &domain.Refusal{Reason: domain.Overloaded, RetryAfter: memoryRetryDelay, Message: "no memory is left for the request body"}
+	}
 	if err != nil {
 		return &domain.Refusal{Reason: domain.Abandoned, Message: fmt.Sprintf("read request body: %v", err)}
 	}
--- a/lentilward/web/server_test.go
+++ b/lentilward/web/server_test.go
@@ -16,6 +16,7 @@
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/directory"
+	"lentilward.org/lentilward/memory"
 	"lentilward.org/lentilward/scatter"
 	"lentilward.org/platform"
 	"lentilward.org/schema/domain"
@@ -24,6 +25,12 @@
 // newTestServer returns a server with one backend server behind the route /a/, and
 // the listener that callers connect to.
 func newTestServer(t *testing.T, backend http.HandlerFunc) (*Server, *httptest.Server) {
+	return newLimitedServer(t, backend, nil, nil)
+}
+
+// newLimitedServer returns a server as newTestServer does that holds requests and replies
+// within limits.
+func newLimitedServer(t *testing.T, backend http.HandlerFunc, requests, replies *memory.Limit) (*Server, *httptest.Server) {
 	backendServer := httptest.NewServer(backend)
 	t.Cleanup(backendServer.Close)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -40,10 +47,11 @@
 		},
 		Services: map[string]*balance.Service{"a": service}, Routes: map[string]*balance.Route{"r": {}},
 	})
-	engine := scatter.New(conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply})
+	engine := scatter.New(conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply, Memory: replies})
 	s := New(Format{platform.DecodeRequest, platform.EncodeAnswer, platform.EncodeRefusal}, d, engine, log)
+	s.Memory = requests
 	frontend := httptest.NewUnstartedServer(s)
-	frontend.Config = s.HTTP()
+	frontend.Config, frontend.Listener = s.HTTP(), s.Limit(frontend.Listener)
 	frontend.Start()
 	t.Cleanup(frontend.Close)
 	return s, frontend
