Bound the replies of the store

A reply of the store could have 64 MiB, and decode to many times that: text of 3 bytes becomes an item of 64. The smallest machine has 284 MiB, so one reply without end could end the process. Heads could have 10 MB.

Pages have at most 1 MB of values; a watch whose changes exceed the bound is followed by a listing, as after a compaction. The stand-in splits pages by size, as the platform does.

--- a/lentilstand/platform/store.go
+++ b/lentilstand/platform/store.go
@@ -14,6 +14,8 @@
 const (
 	// maxValueBytes is the maximum size of a value.
 	maxValueBytes = 1 << 20
+	// maxPageBytes bounds the values on one page, unless there is only one.
+	maxPageBytes = 1 << 20
 	// maxKeyBytes is the maximum length of a key.
 	maxKeyBytes = 200
 	// maxPageItems is the maximum number of items in one page of a range.
@@ -139,8 +141,12 @@
 		}
 	}
 	slices.SortFunc(page, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	if len(page) > maxPageItems {
-		return page[:maxPageItems], true, s.revision
+	size := 0
+	for n, i := range page {
+		size += len(i.Value)
+		if n == maxPageItems || n > 0 && size > maxPageBytes {
+			return page[:n], true, s.revision
+		}
 	}
 	return page, false, s.revision
 }
--- a/lentilward/gateway_store.go
+++ b/lentilward/gateway_store.go
@@ -18,7 +18,12 @@
 		return toMirrorPage(store.Range(ctx, "", after))
 	}
 	g.follower.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*mirror.Page, error) {
-		return toMirrorPage(store.Watch(ctx, "", after, wait))
+		page, err := store.Watch(ctx, "", after, wait)
+		if errors.Is(err, platform.ErrReplyTooLarge) {
+			g.log.Warn("the changes since the last call to the store are too many for one reply", "after", after)
+			return nil, mirror.ErrCompacted
+		}
+		return toMirrorPage(page, err)
 	}
 	g.follower.MaxWatchWait = watchWait(time.Duration(g.options.Load().Apply))
 	g.follower.ReadsStore = g.readsStore
--- a/lentilward/storeclient.go
+++ b/lentilward/storeclient.go
@@ -22,6 +22,7 @@
 func newStoreClient(address netip.AddrPort, dial dialFunc) *platform.Store {
 	return platform.NewStore(address, &http.Client{Transport: storeTransport{&http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdleStoreConnections, IdleConnTimeout: storeIdleTimeout,
+		MaxResponseHeaderBytes: platform.MaxStoreHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, storeDialTimeout)
 			defer cancel()
