Run the new tests of whole instances like the others on a network in memory

The five new tests are of that kind, so they run without the detector, and with it, where its crash is the only failure that is passed over.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -40,7 +40,7 @@
 main=lentilward.org/lentilward
 bubble_packages="$main/member $main/fleet"
 bubble_tests='^(TestFleetKeepsLimitsAndConvergesUnderFaults|TestIsolatedInstanceDoesNotSpendTheFleetsRetryBudget|TestNewInstanceFetchesSuspectRequestsFromPeers|TestPoisonRequestsSurviveFleetRestart)$'
-network_tests='^(TestGatherersAreFewAndConnected|TestConnectionOfSilentGathererIsReplaced|TestOneSilentPeerLeadsToACheckOfAll|TestStopDoesNotCloseConnectionsWhoseRequestIsRead|TestStopAnswers.*|TestRestartedInstanceUsesNoServerThatHasLeft|TestAddedRouteIsServed.*|TestOddServerRecordsDoNotStopAnInstance|TestFetchFromHangingPeerDoesNotDelayOthers|TestUnknownRouteIsRefusedAsNotRunWhileUnconfirmed|TestUndisturbedInstancesServeAddedRoutes)$'
+network_tests='^(TestGatherersAreFewAndConnected|TestConnectionOfSilentGathererIsReplaced|TestOneSilentPeerLeadsToACheckOfAll|TestStopDoesNotCloseConnectionsWhoseRequestIsRead|TestStopAnswers.*|TestRestartedInstanceUsesNoServerThatHasLeft|TestAddedRouteIsServed.*|TestOddServerRecordsDoNotStopAnInstance|TestFetchFromHangingPeerDoesNotDelayOthers|TestUnknownRouteIsRefusedAsNotRunWhileUnconfirmed|TestUndisturbedInstancesServeAddedRoutes|TestServersThatLeave.*|TestManyServersThatLeaveAtOnceAreDroppedInTime|TestServersWhoseRecordsExpireInAnOutageAreKept|TestInstanceLearnsChangesWhenAllReadersAreLost|TestInstanceCatchesUpWithChangesTooLargeForOneReply)$'
 
 # Entries of KNOWN-RED.txt in the form "go test PACKAGE -run TEST" are skipped.
 known_red=$(sed -n 's/^go test [^ ]* -run \(Test[A-Za-z0-9]*\)$/\1/p' KNOWN-RED.txt | paste -sd'|')
