Bound the frames of peers together

A frame could have 4 MiB, on any number of connections at once and in any number of handlers, and the head that opens a connection 10 MB (1 MB at the servers for peers, readiness and metrics).

A connection whose frame finds no memory is closed.

Tests: TestFramesWithoutEndShareMemory (8 connections, half of them compressed, beside pings), TestFramesInHandlersShareMemory, TestRepliesOfPeersWithoutEndAreAbandoned.

--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -134,6 +134,9 @@
 const (
 	// maxMessageBytes bounds a message from a caller or an operator.
 	maxMessageBytes = 4 << 20
+	// maxHeaderBytes bounds the header of a request to the ports other than that for
+	// callers.
+	maxHeaderBytes = 16 << 10
 	// headerTimeout bounds the time in which the header of an HTTP request must
 	// arrive.
 	headerTimeout = 5 * time.Second
--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -234,8 +234,8 @@
 // or a server fails.
 func (c *Core) Run(processCtx, stopCtx context.Context) error {
 	callers, operators := c.grpcServers()
-	peers := &http.Server{Handler: c.peers.Handler(), ReadHeaderTimeout: headerTimeout}
-	monitors := &http.Server{Handler: monitor.Handler(c.board, c.metrics), ReadHeaderTimeout: headerTimeout}
+	peers := &http.Server{Handler: c.peers.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	monitors := &http.Server{Handler: monitor.Handler(c.board, c.metrics), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	failed := make(chan error, 4)
 	for _, l := range []struct {
 		address netip.AddrPort
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -113,6 +113,7 @@
 	}
 	g.links = peer.NewLinks(traffic)
 	g.links.Dial = dialPeer
+	g.links.Memory = g.newMemory(peerMemoryShare)
 	g.links.OnSilent = func(address netip.AddrPort, silentFor time.Duration) {
 		logSilentPeer(g.log)(address, silentFor)
 		g.checkPeers()
@@ -120,6 +121,7 @@
 	g.links.OnUnansweredGather = g.connectPeer
 	g.fetchRecords = g.links.FetchRecords
 	g.peers = peer.NewServer(g.board, peer.NewPermits(g.board), traffic, g.log)
+	g.peers.Memory = g.links.Memory
 	g.table = member.NewTable(g.board, self, time.Now)
 	g.table.Revision = g.mirror.Revision
 	g.table.Age = g.follower.Age
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -22,9 +22,9 @@
 	g.log.Info("started", "data-centre", o.DataCentre, "callers", o.Listen.HTTP, "peers", o.Listen.Peers, "seeds", o.Peers,
 		"store", o.Store.Address)
 	callers := g.callers.HTTP()
-	peers := &http.Server{Handler: g.peers.Handler(), ReadHeaderTimeout: headerTimeout}
-	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: headerTimeout}
-	monitors := &http.Server{Handler: monitor.Handler(g.board, g.metrics), ReadHeaderTimeout: headerTimeout}
+	peers := &http.Server{Handler: g.peers.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	monitors := &http.Server{Handler: monitor.Handler(g.board, g.metrics), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	failed := make(chan error, 4)
 	callerListener, err := g.listen(o.Listen.HTTP)
 	if err != nil {
--- a/lentilward/peer/frame.go
+++ b/lentilward/peer/frame.go
@@ -12,12 +12,16 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
+	"lentilward.org/lentilward/memory"
 	"lentilward.org/lentilward/mirror"
 )
 
 // maxFrameBytes is the size of the largest frame that is accepted.
 const maxFrameBytes = 4 << 20
 
+// errMalformed means that a message is not a frame.
+var errMalformed = merry.Sentinel("malformed frame")
+
 // kind is the type of a frame; it determines the type of the body.
 type kind string
 
@@ -42,6 +46,9 @@
 	ID   uint64          `cbor:"id"`
 	Kind kind            `cbor:"kind"`
 	Body cbor.RawMessage `cbor:"body"`
+
+	// hold has the memory of a received frame.
+	hold *memory.Hold
 }
 
 // pingBody is the body of a ping and of its reply.
@@ -135,10 +142,10 @@
 func decodeFrame(data []byte) (frame, error) {
 	var f frame
 	if err := cbor.Unmarshal(data, &f); err != nil {
-		return f, merry.Prepend(err, "malformed frame")
+		return f, merry.Prepend(errMalformed, err.Error())
 	}
 	if f.Kind == "" {
-		return f, merry.New("malformed frame: kind is missing")
+		return f, merry.Prepend(errMalformed, "kind is missing")
 	}
 	return f, nil
 }
--- a/lentilward/peer/link.go
+++ b/lentilward/peer/link.go
@@ -12,6 +12,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+
+	"lentilward.org/lentilward/memory"
 )
 
 const (
@@ -41,6 +43,8 @@
 	Opened atomic.Int64
 	client *http.Client
 
+	// Memory bounds the bytes of the frames that are held. nil sets no bound.
+	Memory *memory.Limit
 	// Dial opens a network connection to a peer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnSilent is called when a connection is given up because the peer did not
@@ -65,7 +69,7 @@
 	l := &Links{traffic: traffic, Dial: (&net.Dialer{}).DialContext, OnSilent: func(netip.AddrPort, time.Duration) {}, OnUnansweredGather: func(netip.AddrPort) {}}
 	l.client = &http.Client{Transport: &http.Transport{
 		// A connection that is opened too late for its call is closed.
-		MaxIdleConnsPerHost: -1,
+		MaxIdleConnsPerHost: -1, MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
@@ -122,7 +126,7 @@
 		return other.(*link), nil
 	}
 	go func() {
-		c.readFrames()
+		c.readFrames(l.Memory)
 		l.byAddress.CompareAndDelete(address, c)
 		close(c.closed)
 		c.failRemoteGathers()
@@ -168,25 +172,20 @@
 
 // readFrames reads frames and passes them to the calls and gathers that wait for
 // them, until the connection fails or a frame is malformed.
-func (c *link) readFrames() {
+func (c *link) readFrames(limit *memory.Limit) {
 	for {
-		_, data, err := c.conn.Read(context.Background())
+		f, err := receiveFrame(context.Background(), c.conn, limit, c.traffic)
 		if err != nil {
 			return
 		}
 		c.markReceived()
-		c.traffic.ReceivedBytes.Add(int64(len(data)))
-		f, err := decodeFrame(data)
-		if err != nil {
-			c.traffic.MalformedFrames.Add(1)
-			return
-		}
-		if c.handleGatherFrame(f) {
-			continue
-		}
-		if received, ok := c.pending.LoadAndDelete(f.ID); ok {
-			received.(chan frame) <- f
+		if !c.handleGatherFrame(f) {
+			if received, ok := c.pending.LoadAndDelete(f.ID); ok {
+				received.(chan frame) <- f
+			}
 		}
+		// A call that waits decodes its frame at once.
+		f.hold.Release()
 	}
 }
 
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"net/netip"
@@ -14,6 +15,7 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
+	"lentilward.org/lentilward/memory"
 	"lentilward.org/lentilward/scatter"
 )
 
@@ -30,6 +32,8 @@
 	traffic *Traffic
 	permits *Permits
 
+	// Memory bounds the bytes of the frames that are held. nil sets no bound.
+	Memory *memory.Limit
 	// Ping merges a peer's gossip and returns this instance's own.
 	Ping func(ctx context.Context, g member.Gossip) member.Gossip
 	// Probe pings an address on behalf of a peer.
@@ -76,26 +80,31 @@
 	running := &runningGathers{cancelFuncs: make(map[uint64]context.CancelCauseFunc)}
 	defer running.cancelAll()
 	for {
-		_, data, err := conn.Read(ctx)
-		if err != nil {
-			return
-		}
-		s.traffic.ReceivedBytes.Add(int64(len(data)))
-		f, err := decodeFrame(data)
-		if err != nil {
-			s.traffic.MalformedFrames.Add(1)
+		f, err := receiveFrame(ctx, conn, s.Memory, s.traffic)
+		switch {
+		case errors.Is(err, errMalformed):
 			s.log.Warn("malformed frame from peer", "remote", r.RemoteAddr, "error", err)
 			conn.Close(websocket.StatusUnsupportedData, "malformed frame")
 			return
+		case errors.Is(err, memory.ErrExhausted):
+			s.log.Warn("no memory for a frame from peer", "remote", r.RemoteAddr)
+			return
+		case err != nil:
+			return
 		}
-		switch f.Kind {
-		case kindGather:
-			go s.runGather(ctx, conn, f, running)
-		case kindCancel:
+		if f.Kind == kindCancel {
 			s.cancelGather(f, running)
-		default:
-			go s.handleFrame(ctx, conn, f)
+			f.hold.Release()
+			continue
 		}
+		go func() {
+			defer f.hold.Release()
+			if f.Kind == kindGather {
+				s.runGather(ctx, conn, f, running)
+				return
+			}
+			s.handleFrame(ctx, conn, f)
+		}()
 	}
 }
 
