Let servers of the soak send bytes without end, and check the memory of instances

The bounds of memory were shown by tests with sockets and fakes only. In the soak a server in trouble may now send heads and bodies without end, or 12 MB, and every instance has the 284 MiB of the smallest machine: a larger peak is a finding, and so is a process that ends by itself.

--- a/lentilsoak/caller.go
+++ b/lentilsoak/caller.go
@@ -60,7 +60,7 @@
 func (s *soak) sendNonIdempotent(i *instance, id string) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * requestTimeout}
 	begin := time.Now()
-	r, err := client.Do(s.newRequest(http.MethodPost, "/one/x", id, i))
+	r, err := client.Do(s.newRequest(http.MethodPost, "/one/"+id, id, i))
 	if err != nil {
 		s.recordLostReply(i, id, begin, err)
 		return
@@ -87,7 +87,7 @@
 
 func (s *soak) sendSearch(client *http.Client, i *instance, id string) {
 	begin := time.Now()
-	r, err := client.Do(s.newRequest(http.MethodGet, "/all/x?y", id, i))
+	r, err := client.Do(s.newRequest(http.MethodGet, "/all/x?"+id, id, i))
 	if err != nil {
 		s.recordLostReply(i, id, begin, err)
 		return
--- a/lentilsoak/faults.go
+++ b/lentilsoak/faults.go
@@ -45,9 +45,9 @@
 	case 10:
 		target.proxy.resetConns()
 	case 11:
-		mode := slow + s.rand.Int32N(3)
+		mode := slow + s.rand.Int32N(modeCount-slow)
 		target.mode.Store(mode)
-		time.AfterFunc(duration, func() { target.mode.Store(healthy) })
+		time.AfterFunc(duration, func() { target.mode.Store(target.usualMode) })
 	case 12:
 		s.publishConfiguration()
 	case 13:
--- a/lentilsoak/instance.go
+++ b/lentilsoak/instance.go
@@ -27,6 +27,8 @@
 	// restarting is set from the signal that stops the process until the next one is
 	// started.
 	restarting atomic.Bool
+	// onEnd is called when the process has ended by itself.
+	onEnd func(error)
 
 	mu      sync.Mutex
 	process *os.Process
@@ -63,8 +65,8 @@
 // writeSettings writes the instance's settings file and returns its path.
 func (i *instance) writeSettings(folder string, peers string) (string, error) {
 	path := filepath.Join(folder, i.name+".toml")
-	text := fmt.Sprintf("name = %q\ndata-centre = %q\npeers = [%s]\n[listen]\nhttp = %q\nreadiness = %q\npeers = %q\nmonitor = %q\n[store]\naddress = %q\n[stop]\ngrace = %q\n",
-		i.name, i.dataCentre, peers, i.httpAddress, i.readinessAddress, i.peerAddress, i.monitorAddress, i.storeProxy.address, gracePeriod.String())
+	text := fmt.Sprintf("name = %q\ndata-centre = %q\npeers = [%s]\nmemory-mib = %d\n[listen]\nhttp = %q\nreadiness = %q\npeers = %q\nmonitor = %q\n[store]\naddress = %q\n[stop]\ngrace = %q\n",
+		i.name, i.dataCentre, peers, instanceMemory, i.httpAddress, i.readinessAddress, i.peerAddress, i.monitorAddress, i.storeProxy.address, gracePeriod.String())
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
 
@@ -85,7 +87,9 @@
 	i.process, i.exited = c.Process, exited
 	i.mu.Unlock()
 	go func() {
-		c.Wait()
+		if err := c.Wait(); !i.restarting.Load() {
+			i.onEnd(err)
+		}
 		close(exited)
 	}()
 	return nil
--- a/lentilsoak/ledger.go
+++ b/lentilsoak/ledger.go
@@ -13,6 +13,8 @@
 // received and which checks failed (the findings).
 type ledger struct {
 	answered, refused, failed atomic.Int64
+	// peakMemory is the largest resident memory of an instance in MiB.
+	peakMemory atomic.Int64
 
 	mu             sync.Mutex
 	runCounts      map[string]int
--- a/lentilsoak/main.go
+++ b/lentilsoak/main.go
@@ -17,8 +17,9 @@
 	duration := app.Flag("for", "Duration of the run.").Default("30s").Duration()
 	program := app.Flag("program", "Path of the lentilward binary.").Default("bin/lentilward").ExistingFile()
 	folder := app.Flag("folder", "Folder for settings and logs.").Required().ExistingDir()
+	endlessServers := app.Flag("endless", "Let one of the two servers of each service send bytes without end, under many callers.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	s, err := newSoak(*seed, *program, *folder)
+	s, err := newSoak(*seed, *program, *folder, *endlessServers)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentilsoak:", err)
 		os.Exit(1)
@@ -28,8 +29,8 @@
 	for _, f := range findings {
 		fmt.Println("finding:", f)
 	}
-	fmt.Printf("seed=%d answered=%d refused=%d failed=%d faults=%d findings=%d\n", *seed, s.ledger.answered.Load(),
-		s.ledger.refused.Load(), s.ledger.failed.Load(), s.faultCount, len(findings))
+	fmt.Printf("seed=%d answered=%d refused=%d failed=%d faults=%d peak-mib=%d findings=%d\n", *seed, s.ledger.answered.Load(),
+		s.ledger.refused.Load(), s.ledger.failed.Load(), s.faultCount, s.ledger.peakMemory.Load(), len(findings))
 	if len(findings) > 0 || s.ledger.answered.Load() == 0 {
 		os.Exit(1)
 	}
--- a/lentilsoak/server.go
+++ b/lentilsoak/server.go
@@ -24,12 +24,15 @@
 )
 
 // Modes of a server: slow multiplies the service time, shedding refuses a share of
-// the requests as not executed, resetting closes the connections of a share.
+// the requests as not executed, resetting closes the connections of a share, endless
+// sends bytes without end.
 const (
 	healthy int32 = iota
 	slow
 	shedding
 	resetting
+	endless
+	modeCount
 )
 
 // server simulates one backend server. Instances connect to its proxy.
@@ -38,6 +41,8 @@
 	ledger                  *ledger
 	proxy                   *proxy
 	mode                    atomic.Int32
+	// usualMode is the mode while no fault is injected.
+	usualMode int32
 	// drainingSince is when the store accepted the record of the server as draining,
 	// in nanoseconds since 1970; 0 while the server is not draining.
 	drainingSince atomic.Int64
@@ -86,6 +91,10 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if mode == endless {
+		s.sendWithoutEnd(w, id)
+		return
+	}
 	serviceTime := time.Duration(3+rand.IntN(12)) * time.Millisecond
 	if mode == slow {
 		serviceTime *= 30
--- a/lentilsoak/soak.go
+++ b/lentilsoak/soak.go
@@ -23,6 +23,9 @@
 const (
 	instanceCount = 3
 	callerCount   = 8
+	// endlessCallerCount is the number of callers beside servers that send bytes without
+	// end.
+	endlessCallerCount = 150
 	// meanFaultInterval is the mean time between two faults.
 	meanFaultInterval = 700 * time.Millisecond
 	// storeRecoveryPeriod is how long after the end of a store fault the checks that
@@ -40,7 +43,9 @@
 	rand    *rand.Rand
 	program string
 	folder  string
-	ledger  *ledger
+	// endlessServers is set if some servers send bytes without end all the time.
+	endlessServers bool
+	ledger         *ledger
 	// log receives a line for each injected fault.
 	log           io.Writer
 	store         *standin.Store
@@ -58,9 +63,11 @@
 	restarts sync.WaitGroup
 }
 
-func newSoak(seed uint64, program, folder string) (*soak, error) {
+// newSoak returns a run. With endless set, one of the two servers of each service sends
+// bytes without end all the time.
+func newSoak(seed uint64, program, folder string, endlessServers bool) (*soak, error) {
 	s := &soak{
-		rand: rand.New(rand.NewPCG(seed, 0)), program: program, folder: folder, ledger: newLedger(),
+		rand: rand.New(rand.NewPCG(seed, 0)), program: program, folder: folder, ledger: newLedger(), endlessServers: endlessServers,
 		store: standin.New(seed), settingsPaths: make(map[*instance]string),
 	}
 	log, err := os.Create(filepath.Join(folder, "faults.log"))
@@ -82,6 +89,10 @@
 			if err != nil {
 				return nil, err
 			}
+			if endlessServers && k == 1 {
+				server.usualMode = endless
+				server.mode.Store(endless)
+			}
 			s.servers = append(s.servers, server)
 		}
 	}
@@ -90,6 +101,7 @@
 		if err != nil {
 			return nil, err
 		}
+		i.onEnd = func(err error) { s.ledger.addFinding("%s ended by itself: %v", i.name, err) }
 		s.instances = append(s.instances, i)
 	}
 	return s, nil
@@ -130,11 +142,19 @@
 			return
 		}
 		go s.pollReadiness(i, until)
+		go s.watchMemory(i, until)
 	}
 	var wg sync.WaitGroup
-	for n := range callerCount {
+	callers, deafCallers := callerCount, 0
+	if s.endlessServers {
+		callers, deafCallers = endlessCallerCount, deafCallerCount
+	}
+	for n := range callers {
 		wg.Go(func() { s.sendRequests(n, until) })
 	}
+	for n := range deafCallers {
+		wg.Go(func() { s.sendUnread(n, until) })
+	}
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(s.rand.Int64N(int64(2 * meanFaultInterval))))
 		s.injectFault()
@@ -142,6 +162,7 @@
 	wg.Wait()
 	s.restarts.Wait()
 	for _, i := range s.instances {
+		i.restarting.Store(true)
 		i.signal(syscall.SIGCONT, true)
 		<-i.signal(syscall.SIGKILL, true)
 	}
