Answer the requests in flight before a planned stop of the gRPC face ends

Cause: Core.shutDown waited for the whole grace period and then closed all connections; nothing ended the requests that still waited.

Evidence: by the servers' ledger none of them had arrived, and all ended at the same moment as the process closed its connections.

Why this works: the requests in flight end a second before the end of the grace, with an answer that says whether they were sent, and none takes a slot that this frees. The process ends once the claims of those that have not run are released, within the grace.

Test: TestStopAnswersRequestsThatWait; 8 of 20 requests had reached a server, and exactly these end with an unknown outcome.

--- a/lentilward/caller/execute.go
+++ b/lentilward/caller/execute.go
@@ -49,6 +49,8 @@
 		return nil, refused
 	}
 	defer releaseLimits()
+	ctx, endLimit := s.stopper.limit(ctx)
+	defer endLimit()
 	ctx, cancel := context.WithDeadline(ctx, due)
 	defer cancel()
 	claim, earlier, err := s.claims.Acquire(ctx, r.Caller, r.ID)
@@ -56,12 +58,12 @@
 		return claimedResult(earlier, err)
 	}
 	req := &backend.Request{ID: r.ID, Class: r.Class, Deadline: due, WaitForServer: true}
-	result, err := s.runner.Execute(ctx, req, services[0], r.Payload, ctx.Err)
-	updateClaim(claim, req.Outcome(), result)
+	result, err := s.runner.Execute(ctx, req, services[0], r.Payload, func() error { return s.stopper.check(ctx) })
+	s.updateClaim(claim, req.Outcome(), result)
 	if err != nil {
 		refusal := asRefusal(err)
 		refusal.Outcome = req.Outcome()
-		return nil, refusal
+		return nil, s.stopper.explain(refusal)
 	}
 	s.metrics.RecordAnswer(r.Caller, r.Class, time.Since(begin), req.Attempts(), 0, 0)
 	return result, nil
@@ -88,17 +90,19 @@
 // updateClaim stores the result of a request in its claim, or releases the
 // claim if the request did not run. If the outcome is unknown, the claim is
 // left as it is. The update runs in the background.
-func updateClaim(claim *store.Claim, outcome domain.Outcome, result []byte) {
+func (s *Server) updateClaim(claim *store.Claim, outcome domain.Outcome, result []byte) {
 	if outcome == domain.Unknown {
 		return
 	}
-	go func() {
+	s.stopper.claimUpdates.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimUpdateTimeout)
 		defer cancel()
+		update := claim.Release
 		if outcome == domain.Ran {
-			claim.Finish(ctx, result)
-			return
+			update = func(ctx context.Context) error { return claim.Finish(ctx, result) }
 		}
-		claim.Release(ctx)
-	}()
+		if err := update(ctx); err != nil {
+			s.log.Warn("updating a claim failed", "outcome", outcome, "error", err)
+		}
+	})
 }
--- a/lentilward/caller/fake_test.go
+++ b/lentilward/caller/fake_test.go
@@ -64,8 +64,13 @@
 	return nil, s.Err()
 }
 
-func (f *fakeServer) Execute(_ context.Context, r *backendpb.ExecuteRequest, _ ...grpc.CallOption) (*backendpb.ExecuteReply, error) {
+func (f *fakeServer) Execute(ctx context.Context, r *backendpb.ExecuteRequest, _ ...grpc.CallOption) (*backendpb.ExecuteReply, error) {
 	f.calls.Add(1)
+	select {
+	case <-time.After(f.extraDelay):
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
 	if f.connectionLost {
 		return nil, errConnectionLost
 	}
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -25,13 +25,14 @@
 	admission admission
 	capacity  capacity
 	shapes    suspect.ShapeSet
+	stopper   *stopper
 }
 
 // New returns a server that runs requests with the runner.
 func New(board *blackboard.Board, runner *backend.Runner, claims *store.Claims, suspects *suspect.List, metrics *monitor.Metrics, policy backend.Policy, log *slog.Logger) *Server {
 	return &Server{
 		board: board, runner: runner, claims: claims, suspects: suspects, metrics: metrics, policy: policy, log: log,
-		admission: admission{board: board}, capacity: capacity{maxShards: maxShardsInFlight},
+		admission: admission{board: board}, capacity: capacity{maxShards: maxShardsInFlight}, stopper: newStopper(),
 	}
 }
 
@@ -90,6 +91,8 @@
 	if refused := s.checkExpectedWait(req, services, begin); refused != nil {
 		return nil, refused
 	}
+	ctx, endLimit := s.stopper.limit(ctx)
+	defer endLimit()
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	results, refused := s.searchShards(ctx, req, services)
@@ -97,7 +100,11 @@
 		return nil, refused
 	}
 	s.logSlowRequest(req, results, time.Since(begin))
-	return s.buildAnswer(req, results, r.MinCoverage, routes.Revision)
+	answer, refused := s.buildAnswer(req, results, r.MinCoverage, routes.Revision)
+	if refused != nil {
+		return nil, s.stopper.explain(refused)
+	}
+	return answer, nil
 }
 
 // newRequest validates a search and returns the request to run.
@@ -156,7 +163,7 @@
 
 // buildAnswer returns the answer, or a refusal if it covers less than
 // minCoverage, a share from 0 to 1.
-func (s *Server) buildAnswer(req *backend.Request, results []serviceResult, minCoverage float64, revision uint64) (*domain.SearchAnswer, error) {
+func (s *Server) buildAnswer(req *backend.Request, results []serviceResult, minCoverage float64, revision uint64) (*domain.SearchAnswer, *domain.Refusal) {
 	covered, total := countCovered(results)
 	if float64(covered) < minCoverage*float64(total) {
 		return nil, incompleteRefusal(req, results, covered, total)
