Write claims without a lease

Cause: claims and stored results were written under a lease, which such an outage ends whatever its term. A claim that is missing then can't be told from one that never was.

Evidence: the servers' ledger has both runs of all ten, the second after the store's return; the new test against the stand-in lets leases expire, and before the change both a finished and a taken request could be claimed again.

Why this works: nothing but its own deletion removes a claim. It says when it may be deleted; its instance does so, or, where that is gone, the first instance by rank.

Tests: TestClaimsOutlastLeases, TestClaimsAreDeletedOnceTheyHaveExpired.

--- a/lentilward/caller/bench_test.go
+++ b/lentilward/caller/bench_test.go
@@ -88,6 +88,6 @@
 	}
 	board.Routes.Store(&blackboard.Routes{Services: map[string]*blackboard.ServiceRoutes{"s": r}, Revision: 1})
 	log := slog.New(slog.DiscardHandler)
-	return New(board, backend.New(ctx, "bench", backend.Policy{}), store.NewClaims(nil, "bench"),
+	return New(board, backend.New(ctx, "bench", backend.Policy{}), store.NewClaims(nil, "bench", slog.New(slog.DiscardHandler)),
 		suspect.New(board), monitor.NewMetrics(), backend.Policy{}, log)
 }
--- a/lentilward/caller/fake_test.go
+++ b/lentilward/caller/fake_test.go
@@ -112,7 +112,7 @@
 	}
 	log := slog.New(slog.DiscardHandler)
 	runner := backend.New(ctx, "test", backend.Policy{})
-	inst.server = New(inst.board, runner, store.NewClaims(inst.fakeKeyValue(), "test"), suspect.New(inst.board),
+	inst.server = New(inst.board, runner, store.NewClaims(inst.fakeKeyValue(), "test", log), suspect.New(inst.board),
 		monitor.NewMetrics(), backend.Policy{}, log)
 	inst.addService("billing", 2, 1000)
 	inst.addService("audit", 1, 2000)
@@ -174,7 +174,7 @@
 			}
 			return inst.storeEntries[key], nil
 		},
-		Put: func(_ context.Context, key string, value []byte, expected, _ uint64) (uint64, error) {
+		Put: func(_ context.Context, key string, value []byte, expected uint64) (uint64, error) {
 			inst.storeMu.Lock()
 			defer inst.storeMu.Unlock()
 			if inst.storeDown {
@@ -186,13 +186,5 @@
 			inst.storeEntries[key] = store.Entry{Value: value, Revision: expected + 1}
 			return expected + 1, nil
 		},
-		GrantLease: func(context.Context, time.Duration) (uint64, error) {
-			inst.storeMu.Lock()
-			defer inst.storeMu.Unlock()
-			if inst.storeDown {
-				return 0, store.ErrUnavailable
-			}
-			return 1, nil
-		},
 	}
 }
--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -55,6 +55,7 @@
 	fleet         *fleet.Fleet
 	runner        *backend.Runner
 	watcher       *store.Watcher
+	claims        *store.Claims
 	listInstances store.InstanceLister
 	registrar     *registration.Registrar
 	table         *member.Table
@@ -85,6 +86,7 @@
 		fleet:         do.MustInvoke[*fleet.Fleet](i),
 		runner:        do.MustInvoke[*backend.Runner](i),
 		watcher:       do.MustInvoke[*store.Watcher](i),
+		claims:        do.MustInvoke[*store.Claims](i),
 		listInstances: store.NewInstanceLister(client),
 		registrar:     do.MustInvoke[*registration.Registrar](i),
 		table:         do.MustInvoke[*member.Table](i),
@@ -133,6 +135,7 @@
 	c.suspects.Broadcast = func(ctx context.Context, s []blackboard.SuspectRequest) {
 		c.links.ReportSuspects(ctx, c.board.Members.Load().AlivePeers(), s)
 	}
+	c.claims.Rank = func() int { return c.board.Members.Load().Rank("claims") }
 	c.watcher.Rank = func() int { return c.board.Members.Load().Rank("config") }
 	c.watcher.OnInstall = c.prober.GossipNow
 	c.operator.OnInstall = c.prober.GossipNow
@@ -259,6 +262,7 @@
 	go c.fleet.Run(processCtx)
 	go c.prober.Run(processCtx)
 	go c.watcher.Run(processCtx)
+	go c.claims.Run(processCtx)
 	go stateTransfer{board: c.board, suspects: c.suspects, log: c.log, fetch: c.fetchRecords}.run(processCtx)
 	registered, deregister := context.WithCancel(processCtx)
 	defer deregister()
--- a/lentilward/operator/session_test.go
+++ b/lentilward/operator/session_test.go
@@ -35,7 +35,7 @@
 			}
 			return m.entries[key], nil
 		},
-		Put: func(_ context.Context, key string, value []byte, expected, _ uint64) (uint64, error) {
+		Put: func(_ context.Context, key string, value []byte, expected uint64) (uint64, error) {
 			if m.entries[key].Revision != expected {
 				return 0, store.ErrConflict
 			}
--- a/lentilward/store/claims.go
+++ b/lentilward/store/claims.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -14,12 +16,6 @@
 )
 
 const (
-	// claimTTL is the minimum time for which a claim is stored. A resend after it
-	// has expired counts as a new request.
-	claimTTL = 10 * time.Minute
-	// leaseReusePeriod is the time during which new claims share one lease, so
-	// that a claim costs a single write.
-	leaseReusePeriod = time.Minute
 	// maxClaimsPerSecond is the rate limit for the claims of one instance, and
 	// its burst.
 	maxClaimsPerSecond = 50
@@ -44,24 +40,34 @@
 	Owner  string     `cbor:"owner"`
 	State  ClaimState `cbor:"state"`
 	Result []byte     `cbor:"result"`
+	// Expires is when the claim may be deleted, in milliseconds since 1970.
+	Expires int64 `cbor:"expires,omitempty"`
 }
 
+// claimPrefix is the prefix of the keys of claims.
+const claimPrefix = "lentilward/claim/"
+
 // Claims creates claims in the key-value service, so that at most one instance runs
 // a non-idempotent request.
 type Claims struct {
 	kv       *KeyValue
 	instance string
-
-	mu            sync.Mutex
-	lease         uint64
-	leaseReuseEnd time.Time
-	tokens        float64
-	lastRefill    time.Time
+	log      *slog.Logger
+	// Rank returns the position of this instance, from 0, in the order by which the one
+	// that deletes the claims of others is selected.
+	Rank func() int
+
+	mu         sync.Mutex
+	tokens     float64
+	lastRefill time.Time
+	// own has the claims of this instance in the order in which they expire.
+	own []ownClaim
 }
 
-// NewClaims returns Claims for the instance of the given name.
-func NewClaims(kv *KeyValue, instance string) *Claims {
-	return &Claims{kv: kv, instance: instance, tokens: maxClaimsPerSecond}
+// NewClaims returns Claims for the instance of the given name. Run deletes them once they
+// have expired.
+func NewClaims(kv *KeyValue, instance string, log *slog.Logger) *Claims {
+	return &Claims{kv: kv, instance: instance, log: log, tokens: maxClaimsPerSecond, Rank: func() int { return 0 }}
 }
 
 // Claim is a claim that this instance holds.
@@ -69,8 +75,8 @@
 	claims   *Claims
 	key      string
 	owner    string
-	lease    uint64
-	revision uint64
+	expires  time.Time
+	revision atomic.Uint64
 }
 
 // EarlierClaim is the state of an earlier claim on the same request, by any
@@ -86,18 +92,15 @@
 	if !c.allow(time.Now()) {
 		return nil, EarlierClaim{}, ErrLimited
 	}
-	lease, err := c.currentLease(ctx)
-	if err != nil {
-		return nil, EarlierClaim{}, err
-	}
 	k := &Claim{
-		claims: c, lease: lease, owner: c.instance + "/" + uuid.NewString(),
-		key: fmt.Sprintf("lentilward/claim/%q/%q", caller, requestID),
+		claims: c, owner: c.instance + "/" + uuid.NewString(), expires: time.Now().Add(claimTTL),
+		key: fmt.Sprintf("%s%q/%q", claimPrefix, caller, requestID),
 	}
 	expected := uint64(0)
 	for range maxClaimTries {
 		err := k.put(ctx, expected, ClaimTaken, nil)
 		if err == nil {
+			c.addOwn(k)
 			return k, EarlierClaim{}, nil
 		}
 		if !errors.Is(err, ErrConflict) && !isUnavailable(err) {
@@ -109,7 +112,8 @@
 		}
 		switch {
 		case value.Owner == k.owner:
-			k.revision = e.Revision
+			k.revision.Store(e.Revision)
+			c.addOwn(k)
 			return k, EarlierClaim{}, nil
 		case e.Revision != 0 && value.State != ClaimReleased:
 			return nil, EarlierClaim{State: value.State, Result: value.Result}, ErrClaimed
@@ -125,25 +129,25 @@
 
 // Finish stores the result of the request, which a resend then receives.
 func (k *Claim) Finish(ctx context.Context, result []byte) error {
-	return k.put(ctx, k.revision, ClaimDone, result)
+	return k.put(ctx, k.revision.Load(), ClaimDone, result)
 }
 
 // Release gives up the claim of a request that has not run, so that a resend may
 // run it.
 func (k *Claim) Release(ctx context.Context) error {
-	return k.put(ctx, k.revision, ClaimReleased, nil)
+	return k.put(ctx, k.revision.Load(), ClaimReleased, nil)
 }
 
 func (k *Claim) put(ctx context.Context, expected uint64, state ClaimState, result []byte) error {
-	value, err := cbor.Marshal(claim{Owner: k.owner, State: state, Result: result})
+	value, err := cbor.Marshal(claim{Owner: k.owner, State: state, Result: result, Expires: k.expires.UnixMilli()})
 	if err != nil {
 		return merry.Wrap(err)
 	}
-	revision, err := k.claims.kv.Put(ctx, k.key, value, expected, k.lease)
+	revision, err := k.claims.kv.Put(ctx, k.key, value, expected)
 	if err != nil {
 		return err
 	}
-	k.revision = revision
+	k.revision.Store(revision)
 	return nil
 }
 
@@ -162,24 +166,11 @@
 	return e, value, nil
 }
 
-// currentLease returns the lease that new claims share. It requests a new one if
-// leaseReusePeriod has passed.
-func (c *Claims) currentLease(ctx context.Context) (uint64, error) {
-	c.mu.Lock()
-	lease, reuseEnd := c.lease, c.leaseReuseEnd
-	c.mu.Unlock()
-	if time.Now().Before(reuseEnd) {
-		return lease, nil
-	}
-	begin := time.Now()
-	lease, err := c.kv.GrantLease(ctx, claimTTL+leaseReusePeriod)
-	if err != nil {
-		return 0, err
-	}
+// addOwn notes a claim of this instance for its deletion.
+func (c *Claims) addOwn(k *Claim) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lease, c.leaseReuseEnd = lease, begin.Add(leaseReusePeriod)
-	return lease, nil
+	c.own = append(c.own, ownClaim{claim: k, expiresAt: k.expires})
 }
 
 // allow reports whether a claim at time now is within the instance's share of the
--- a/lentilward/store/claims_test.go
+++ b/lentilward/store/claims_test.go
@@ -4,14 +4,25 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
+
+	standin "lentilward.org/lentilstand/platform"
+	"lentilward.org/platform"
 )
 
+func newTestClaims(kv *KeyValue, instance string) *Claims {
+	return NewClaims(kv, instance, slog.New(slog.DiscardHandler))
+}
+
 // Guards against running a non-idempotent request twice when it is resent through
 // several instances at once while store replies are lost and store calls fail.
 func TestAtMostOneInstanceRunsAClaimedRequest(t *testing.T) {
@@ -27,7 +38,7 @@
 			running, runs := 0, 0
 			var wg sync.WaitGroup
 			for i := range 6 {
-				claims := NewClaims(kv.keyValue(), fmt.Sprintf("i%d", i))
+				claims := newTestClaims(kv.keyValue(), fmt.Sprintf("i%d", i))
 				wg.Go(func() {
 					time.Sleep(time.Duration(i%3) * 5 * time.Millisecond)
 					claim, _, err := claims.Acquire(context.Background(), "caller", "request")
@@ -65,14 +76,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		kv := newFakeKV(1)
 		ctx := context.Background()
-		claim, _, err := NewClaims(kv.keyValue(), "a").Acquire(ctx, "c", "r")
+		claim, _, err := newTestClaims(kv.keyValue(), "a").Acquire(ctx, "c", "r")
 		if err != nil {
 			t.Fatal(err)
 		}
 		if err := claim.Finish(ctx, []byte("done")); err != nil {
 			t.Fatal(err)
 		}
-		_, earlier, err := NewClaims(kv.keyValue(), "b").Acquire(ctx, "c", "r")
+		_, earlier, err := newTestClaims(kv.keyValue(), "b").Acquire(ctx, "c", "r")
 		if !errors.Is(err, ErrClaimed) || earlier.State != ClaimDone || string(earlier.Result) != "done" {
 			t.Fatalf("got earlier claim %v and error %v, want a finished claim and ErrClaimed", earlier, err)
 		}
@@ -80,7 +91,7 @@
 }
 
 func TestClaimsStayWithinRateLimit(t *testing.T) {
-	c := NewClaims(newFakeKV(1).keyValue(), "a")
+	c := newTestClaims(newFakeKV(1).keyValue(), "a")
 	now := time.Unix(0, 0)
 	granted := 0
 	for range 10 * maxClaimsPerSecond {
@@ -93,3 +104,78 @@
 		t.Errorf("%d claims within a second, want at most %d including the burst", granted, 2*maxClaimsPerSecond)
 	}
 }
+
+// Guards against running a request again that has run, or may have, after an outage of the
+// store in which leases ran out (found in a review: TWICE).
+func TestClaimsOutlastLeases(t *testing.T) {
+	kv := standin.New(1)
+	server := httptest.NewServer(kv.Handler())
+	defer server.Close()
+	client := NewKeyValue(platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String()), http.DefaultClient))
+	first, second := newTestClaims(client, "a"), newTestClaims(client, "b")
+	finished, _, err := first.Acquire(t.Context(), "c", "finished")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := finished.Finish(t.Context(), []byte("done")); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := first.Acquire(t.Context(), "c", "taken"); err != nil {
+		t.Fatal(err)
+	}
+	kv.ExpireLeases()
+	if _, earlier, err := second.Acquire(t.Context(), "c", "finished"); !errors.Is(err, ErrClaimed) || string(earlier.Result) != "done" {
+		t.Errorf("got %v, %v for a request that has run", earlier, err)
+	}
+	if _, earlier, err := second.Acquire(t.Context(), "c", "taken"); !errors.Is(err, ErrClaimed) || earlier.State != ClaimTaken {
+		t.Errorf("got %v, %v for a request that may have run", earlier, err)
+	}
+}
+
+// Guards against claims that stay in the store for good, or not for claimTTL: those of a
+// running instance, of one that is gone, and of calls whose replies are lost.
+func TestClaimsAreDeletedOnceTheyHaveExpired(t *testing.T) {
+	for _, lost := range []float64{0, 0.3} {
+		t.Run(fmt.Sprint("lost replies ", lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := newFakeKV(1)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				kv.lostReplyShare = lost
+				gone, running, other := newTestClaims(kv.keyValue(), "gone"), newTestClaims(kv.keyValue(), "a"), newTestClaims(kv.keyValue(), "b")
+				other.Rank = func() int { return 1 }
+				go running.Run(ctx)
+				go other.Run(ctx)
+				const claims = 40
+				for i := range claims {
+					for _, c := range []*Claims{gone, running, other} {
+						claim, _, err := c.Acquire(ctx, c.instance, fmt.Sprint(i))
+						if err != nil {
+							t.Fatal(err)
+						}
+						if i%2 == 0 {
+							claim.Finish(ctx, nil)
+						}
+					}
+				}
+				stored := func() int {
+					kv.mu.Lock()
+					defer kv.mu.Unlock()
+					return len(kv.entries)
+				}
+				time.Sleep(claimTTL - time.Minute)
+				if n := stored(); n != 3*claims {
+					t.Fatalf("%d of %d claims are left before they expire", n, 3*claims)
+				}
+				time.Sleep(2 * time.Minute)
+				if n := stored(); lost == 0 && n != claims {
+					t.Errorf("%d claims are left, want the %d of the instance that is gone", n, claims)
+				}
+				time.Sleep(2*sweepInterval + 4*claims*sweepPageInterval)
+				if n := stored(); n != 0 {
+					t.Errorf("%d claims are left for good", n)
+				}
+			})
+		})
+	}
+}
--- a/lentilward/store/fake_test.go
+++ b/lentilward/store/fake_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -59,16 +61,42 @@
 			delete(f.entries, key)
 			return nil
 		},
-		GrantLease: func(ctx context.Context, _ time.Duration) (uint64, error) {
+		DeleteAll: func(ctx context.Context, entries []ListedEntry) error {
 			if failed, _ := f.simulateCall(ctx); failed {
-				return 0, ErrUnavailable
+				return ErrUnavailable
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, e := range entries {
+				if f.entries[e.Key].Revision != e.Revision {
+					return ErrConflict
+				}
+			}
+			for _, e := range entries {
+				delete(f.entries, e.Key)
+			}
+			return nil
+		},
+		List: func(ctx context.Context, prefix, after string) ([]ListedEntry, bool, error) {
+			if failed, _ := f.simulateCall(ctx); failed {
+				return nil, false, ErrUnavailable
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			var page []ListedEntry
+			for key, e := range f.entries {
+				if strings.HasPrefix(key, prefix) && key > after {
+					page = append(page, ListedEntry{key, e.Value, e.Revision})
+				}
 			}
-			return 1, nil
+			slices.SortFunc(page, func(a, b ListedEntry) int { return strings.Compare(a.Key, b.Key) })
+			const pageLength = 3
+			return page[:min(len(page), pageLength)], len(page) > pageLength, nil
 		},
 	}
 }
 
-func (f *fakeKV) put(ctx context.Context, key string, value []byte, expected, _ uint64) (uint64, error) {
+func (f *fakeKV) put(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
 	failed, lost := f.simulateCall(ctx)
 	if failed {
 		return 0, ErrUnavailable
--- a/lentilward/store/keyvalue.go
+++ b/lentilward/store/keyvalue.go
@@ -35,20 +35,30 @@
 	Revision uint64
 }
 
+// ListedEntry is an entry with its key.
+type ListedEntry struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+}
+
 // KeyValue is a client of the key-value service.
 type KeyValue struct {
 	Get func(ctx context.Context, key string) (Entry, error)
 	// Put writes value if the key has the expected revision, where 0 means that
-	// the key is absent. Otherwise it returns ErrConflict. The key is deleted
-	// when the lease expires; with lease 0 it does not expire.
-	Put func(ctx context.Context, key string, value []byte, expected, lease uint64) (revision uint64, err error)
+	// the key is absent. Otherwise it returns ErrConflict.
+	Put func(ctx context.Context, key string, value []byte, expected uint64) (revision uint64, err error)
 	// Delete deletes a key whatever its revision.
 	Delete func(ctx context.Context, key string) error
+	// DeleteAll deletes the keys of entries if all of them have the revisions of the
+	// entries. Otherwise it deletes none and returns ErrConflict.
+	DeleteAll func(ctx context.Context, entries []ListedEntry) error
+	// List returns a page of the entries whose keys have a prefix and follow a key, and
+	// whether there are more.
+	List func(ctx context.Context, prefix, after string) (page []ListedEntry, more bool, err error)
 	// Wait returns the entry of a key once its revision exceeds after, or when
 	// timeout has elapsed.
 	Wait func(ctx context.Context, key string, after uint64, timeout time.Duration) (Entry, error)
-	// GrantLease creates a lease that expires after ttl.
-	GrantLease func(ctx context.Context, ttl time.Duration) (uint64, error)
 }
 
 // InstanceLister returns the peer addresses of the registered instances.
@@ -68,9 +78,9 @@
 			}
 			return Entry{Value: i.Value, Revision: i.Revision}, nil
 		},
-		Put: func(ctx context.Context, key string, value []byte, expected, lease uint64) (uint64, error) {
+		Put: func(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
 			revision, err := c.Commit(ctx, []platform.Condition{{Key: key, Revision: expected}},
-				[]platform.Write{{Key: key, Value: value, Lease: lease}}, nil)
+				[]platform.Write{{Key: key, Value: value}}, nil)
 			if err != nil {
 				return 0, translateError(err)
 			}
@@ -82,15 +92,31 @@
 			}
 			return nil
 		},
-		Wait: func(ctx context.Context, key string, after uint64, timeout time.Duration) (Entry, error) {
-			return waitForChange(ctx, c, key, after, timeout)
+		DeleteAll: func(ctx context.Context, entries []ListedEntry) error {
+			var conditions []platform.Condition
+			var keys []string
+			for _, e := range entries {
+				conditions = append(conditions, platform.Condition{Key: e.Key, Revision: e.Revision})
+				keys = append(keys, e.Key)
+			}
+			if _, err := c.Commit(ctx, conditions, nil, keys); err != nil {
+				return translateError(err)
+			}
+			return nil
 		},
-		GrantLease: func(ctx context.Context, ttl time.Duration) (uint64, error) {
-			lease, _, err := c.GrantLease(ctx, ttl)
+		List: func(ctx context.Context, prefix, after string) ([]ListedEntry, bool, error) {
+			page, err := c.Range(ctx, prefix, after)
 			if err != nil {
-				return 0, translateError(err)
+				return nil, false, translateError(err)
+			}
+			var entries []ListedEntry
+			for _, i := range page.Items {
+				entries = append(entries, ListedEntry{Key: i.Key, Value: i.Value, Revision: i.Revision})
 			}
-			return lease, nil
+			return entries, page.More, nil
+		},
+		Wait: func(ctx context.Context, key string, after uint64, timeout time.Duration) (Entry, error) {
+			return waitForChange(ctx, c, key, after, timeout)
 		},
 	}
 }
--- a/lentilward/store/store.go
+++ b/lentilward/store/store.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		return merry.Wrap(err)
 	}
-	if _, err := s.kv.Put(ctx, headKey, value, revision, 0); err != nil {
+	if _, err := s.kv.Put(ctx, headKey, value, revision); err != nil {
 		return err
 	}
 	s.deleteReplaced(ctx, old, next)
@@ -224,7 +224,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.kv.Put(ctx, key, value, e.Revision, 0); err != nil {
+	if _, err := s.kv.Put(ctx, key, value, e.Revision); err != nil {
 		return err
 	}
 	return nil
--- a/lentilward/wire.go
+++ b/lentilward/wire.go
@@ -75,7 +75,7 @@
 			do.MustInvoke[*slog.Logger](i)), nil
 	})
 	do.Provide(i, func(i do.Injector) (*store.Claims, error) {
-		return store.NewClaims(do.MustInvoke[*store.KeyValue](i), do.MustInvoke[*Options](i).Name), nil
+		return store.NewClaims(do.MustInvoke[*store.KeyValue](i), do.MustInvoke[*Options](i).Name, do.MustInvoke[*slog.Logger](i)), nil
 	})
 }
 
