Read the configuration on the gRPC face once no peer confirms it

What callers would see: an old configuration for up to 67 s where all four instances that watch it are lost at the same moment.

Cause: the other instances poll every 22 to 67 s, whatever happens to their rank and their peers.

Change: confirmations have an age, which gossip passes on, as on the HTTP face; over 7 s an instance reads the store itself. Watches last 3 s, not 8 s: 12 more calls a minute on each of four instances.

--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -138,6 +138,7 @@
 	c.claims.Rank = func() int { return c.board.Members.Load().Rank("claims") }
 	c.watcher.Rank = func() int { return c.board.Members.Load().Rank("config") }
 	c.watcher.OnInstall = c.prober.GossipNow
+	c.table.Age, c.prober.OnSameRevision = c.watcher.Age, c.watcher.MarkCurrent
 	c.operator.OnInstall = c.prober.GossipNow
 }
 
--- a/lentilward/store/watcher.go
+++ b/lentilward/store/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
@@ -12,7 +13,12 @@
 const (
 	// watchTimeout is how long one watch call waits for a change. With callTimeout it
 	// bounds how long a dead connection goes unnoticed.
-	watchTimeout = 8 * time.Second
+	watchTimeout = 3 * time.Second
+	// maxConfirmedAge is the time without a confirmation of the configuration, by the
+	// store or a peer, after which an instance that holds no watch reads the store.
+	maxConfirmedAge = 7 * time.Second
+	// turnCheckInterval is the interval at which it checks whether it has to.
+	turnCheckInterval = 250 * time.Millisecond
 	// maxWatchingInstances bounds the instances that hold a watch. The others
 	// receive changes from their peers and poll at a long interval.
 	maxWatchingInstances = 4
@@ -35,12 +41,50 @@
 	Rank func() int
 	// OnInstall is called after a newer configuration has been installed.
 	OnInstall func()
+
+	// currentAt is when the configuration in force was last known to be the newest, in
+	// nanoseconds since start.
+	currentAt atomic.Int64
+	start     time.Time
 }
 
 // NewWatcher returns a Watcher, which Run starts. Rank returns 0 and OnInstall does
 // nothing until they are set.
 func NewWatcher(store *Store, board *blackboard.Board, log *slog.Logger) *Watcher {
-	return &Watcher{store: store, board: board, log: log, Rank: func() int { return 0 }, OnInstall: func() {}}
+	w := &Watcher{store: store, board: board, log: log, start: time.Now(), Rank: func() int { return 0 }, OnInstall: func() {}}
+	w.currentAt.Store(-int64(time.Hour))
+	return w
+}
+
+// Age returns how long ago the configuration in force was last known to be the newest.
+func (w *Watcher) Age() time.Duration {
+	return time.Since(w.start) - time.Duration(w.currentAt.Load())
+}
+
+// MarkCurrent records that the configuration in force was the newest as long ago as age,
+// according to a peer that has the same one. An age above the present one has no effect.
+func (w *Watcher) MarkCurrent(age time.Duration) {
+	currentAt := int64(time.Since(w.start) - age)
+	for {
+		old := w.currentAt.Load()
+		if currentAt <= old || w.currentAt.CompareAndSwap(old, currentAt) {
+			return
+		}
+	}
+}
+
+// awaitTurn waits until this instance has to read the store although it held no watch: it
+// is among those that hold one, no peer confirms its configuration any more, or a poll is
+// due.
+func (w *Watcher) awaitTurn(ctx context.Context) {
+	pollAt := time.Now().Add(pollInterval/2 + rand.N(pollInterval))
+	for ctx.Err() == nil && w.Rank() >= maxWatchingInstances && time.Now().Before(pollAt) {
+		if age := w.Age(); age > maxConfirmedAge {
+			w.log.Info("no peer confirms the configuration; reading the store", "age", age, "revision", w.board.Config.Load().Revision)
+			return
+		}
+		sleep(ctx, turnCheckInterval)
+	}
 }
 
 // Run installs new configurations until ctx ends.
@@ -64,16 +108,20 @@
 // Rank, and installs it. It returns the revision of the head key to wait for next.
 func (w *Watcher) waitAndInstall(ctx context.Context, after uint64) (uint64, error) {
 	if w.Rank() >= maxWatchingInstances && after > 0 {
-		sleep(ctx, pollInterval/2+rand.N(pollInterval))
+		w.awaitTurn(ctx)
 		after = 0
 	}
 	callCtx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
 	defer cancel()
+	begunAt := time.Now()
 	e, err := w.store.kv.Wait(callCtx, headKey, after, watchTimeout)
 	if err != nil {
 		return after, err
 	}
+	// The store replied no later than at the end of the wait.
+	age := max(0, time.Since(begunAt)-watchTimeout)
 	if e.Revision <= after {
+		w.MarkCurrent(age)
 		return after, nil
 	}
 	c, err := w.store.resolveHead(callCtx, e)
@@ -81,6 +129,7 @@
 		return after, err
 	}
 	w.install(c)
+	w.MarkCurrent(time.Since(begunAt))
 	return e.Revision, nil
 }
 
