--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -286,6 +286,12 @@
 	}
 	g.metrics.RegisterGauge("lentilward_limited_searches", "Sets of shards whose searches are limited because the servers are overloaded.",
 		func() float64 { return float64(g.directory.LimitedSearches(time.Now())) })
+	g.metrics.RegisterGauge("lentilward_held_reply_bytes", "Bytes of replies of backend servers that are held.",
+		func() float64 { return float64(replies.Used()) })
+	g.metrics.RegisterGauge("lentilward_held_request_bytes", "Bytes of requests of callers that are held.",
+		func() float64 { return float64(g.callers.Memory.Used()) })
+	g.metrics.RegisterGauge("lentilward_held_frame_bytes", "Bytes of frames of peers that are held.",
+		func() float64 { return float64(g.links.Memory.Used()) })
 	g.callers.ConfigurationAge = g.follower.Age
 	g.callers.IsConfigurationCurrent = func() bool {
 		return g.follower.Age() < time.Duration(g.options.Load().Apply) && !g.directory.HasPending()
--- a/lentilward/memory/memory.go
+++ b/lentilward/memory/memory.go
@@ -26,8 +26,13 @@
 // New returns a limit of this many bytes.
 func New(bytes int64) *Limit { return &Limit{max: bytes} }
 
-// Used returns the number of bytes that are held.
-func (l *Limit) Used() int64 { return l.used.Load() }
+// Used returns the number of bytes that are held; 0 without a limit.
+func (l *Limit) Used() int64 {
+	if l == nil {
+		return 0
+	}
+	return l.used.Load()
+}
 
 // Max returns the number of bytes that may be held.
 func (l *Limit) Max() int64 { return l.max }
