Let instances of the soak listen below the ports of outgoing connections

Their logs say: listen tcp 127.0.0.1:37547: bind: address already in use. The ports came from the range in which the kernel chooses those of outgoing connections (32768 to 60999 here), and while an instance was restarted a connection of another run took its port. So the fault was the test environment's, not the program's.

Ports are now taken below that range.

--- a/lentilsoak/instance.go
+++ b/lentilsoak/instance.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -38,14 +40,26 @@
 	exited      chan struct{}
 }
 
+// Instances listen on ports below those that the kernel gives to outgoing connections, one of
+// which could take the port of an instance while that is restarted.
+const (
+	minListenPort = 10_000
+	maxListenPort = 32_000
+)
+
 // freeAddress returns a loopback address with an unused port.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", minListenPort+rand.IntN(maxListenPort-minListenPort))
+		l, err := net.Listen("tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		return address, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
 
 func newInstance(name, dataCentre, storeAddress string) (*instance, error) {
