Decode tenants, versions of servers and the settings of the new parts

The configuration may list tenants with keys and allowances, and routes that need no key; server records state the version of the software. Both were ignored. This adds the types, the decoders and the settings that the parts of docs/design share; nothing uses them yet. The priority of a request follows from its tenant, if that has one, and else from its route, as before.

--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -39,6 +39,14 @@
 // must be in force.
 const defaultApply = 3 * time.Second
 
+// Defaults of the settings of rollouts and allowances
+const (
+	defaultRollback     = 5 * time.Second
+	defaultQuotaWindow  = 5 * time.Second
+	defaultQuotaOverage = 0.1
+	defaultQuotaSlack   = 20
+)
+
 // Start-up
 const (
 	// readyCheckInterval is the interval between checks whether a starting
--- a/lentilward/options.go
+++ b/lentilward/options.go
@@ -57,6 +57,34 @@
 		EarlyAnswer  bool     `toml:"early-answer"`
 		AnswerMargin duration `toml:"answer-margin"`
 	} `toml:"search"`
+	// CPUShare is the share of a core that the machine has; 0 if unknown.
+	CPUShare float64 `toml:"cpu-share"`
+	// Rollouts bounds the requests that a version of a service's software gets before it
+	// is known to be good: ExposureShare of all requests of the service, plus
+	// ExposureSlack. Rollback is the time in which a bad version must get no more
+	// requests. Without an ExposureShare orders of rollouts and versions are ignored.
+	Rollouts struct {
+		ExposureShare float64  `toml:"exposure-share"`
+		ExposureSlack float64  `toml:"exposure-slack"`
+		Rollback      duration `toml:"rollback"`
+	} `toml:"rollouts"`
+	// Revocation is the time after which a key that was withdrawn is refused by every
+	// instance, also by one without a connection to the store; 0 sets no such bound.
+	Revocation struct {
+		Within duration `toml:"within"`
+	} `toml:"revocation"`
+	// Quota is how exact the allowances of tenants are kept: in a Window a tenant's
+	// requests exceed its allowance by at most a share of Overage, plus Slack.
+	Quota struct {
+		Window  duration `toml:"window"`
+		Overage float64  `toml:"overage"`
+		Slack   float64  `toml:"slack"`
+	} `toml:"quota"`
+	// Pace slows the calls to servers that have just started or recovered; nil enables
+	// it where the instances outnumber the connections of servers.
+	Pace struct {
+		Enabled *bool `toml:"enabled"`
+	} `toml:"pace"`
 	// Peers are the addresses tried first; the other instances are listed in the
 	// store.
 	Peers []netip.AddrPort `toml:"peers"`
@@ -116,6 +144,10 @@
 	o.Search.Hedge = true
 	o.Search.EarlyAnswer = true
 	o.Search.AnswerMargin = duration(defaultAnswerMargin)
+	o.Rollouts.Rollback = duration(defaultRollback)
+	o.Quota.Window = duration(defaultQuotaWindow)
+	o.Quota.Overage = defaultQuotaOverage
+	o.Quota.Slack = defaultQuotaSlack
 	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&o); err != nil {
 		return nil, withPosition(path, err)
 	}
@@ -195,6 +227,18 @@
 	if o.Search.AnswerMargin < 0 {
 		return &settingError{"search.answer-margin", "must be at least 0"}
 	}
+	if o.CPUShare < 0 {
+		return &settingError{"cpu-share", "must be at least 0"}
+	}
+	if o.Rollouts.ExposureShare < 0 || o.Rollouts.ExposureShare > 1 || o.Rollouts.ExposureSlack < 0 || o.Rollouts.Rollback <= 0 {
+		return &settingError{"rollouts.exposure-share", "want a share of 0 to 1, a slack of at least 0 and a rollback above 0"}
+	}
+	if o.Revocation.Within < 0 {
+		return &settingError{"revocation.within", "must be at least 0"}
+	}
+	if o.Quota.Window <= 0 || o.Quota.Overage < 0 || o.Quota.Slack < 0 {
+		return &settingError{"quota.window", "want a window above 0, and an overage and a slack of at least 0"}
+	}
 	if o.Memory < 0 {
 		return &settingError{"memory-mib", "must be at least 0"}
 	}
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -88,7 +88,9 @@
 type Task struct {
 	Request *domain.Request
 	Route   *domain.Route
-	State   *balance.Route
+	// Tenant is the party that sent the request; nil if that is not known.
+	Tenant *domain.Tenant
+	State  *balance.Route
 	// Services has one service for each shard of a search, and otherwise the one
 	// that runs the request.
 	Services []*balance.Service
@@ -115,6 +117,9 @@
 	Queued int
 }
 
+// priority returns the priority of the request among those that compete for slots.
+func (t *Task) priority() int { return domain.RequestPriority(t.Route, t.Tenant) }
+
 // maxRequestTimeout bounds the time of every request, also where neither caller
 // nor route sets a timeout.
 const maxRequestTimeout = 30 * time.Second
--- a/lentilward/scatter/launch.go
+++ b/lentilward/scatter/launch.go
@@ -39,7 +39,7 @@
 		r.close(p)
 	default:
 		r.stats.Queued++
-		p.waiter = &balance.Waiter{Priority: r.task.Route.Priority, TargetAt: r.earlyAnswerAt, Deadline: r.deadline, Wake: func() {
+		p.waiter = &balance.Waiter{Priority: r.task.priority(), TargetAt: r.earlyAnswerAt, Deadline: r.deadline, Wake: func() {
 			select {
 			case r.wokenParts <- i:
 			default:
--- a/schema/domain/domain.go
+++ b/schema/domain/domain.go
@@ -18,6 +18,11 @@
 	Routes   map[string][]*Route
 	Services map[string]*Service
 	Limits   Limits
+	// Tenants maps the names of tenants to them. If it is not empty, requests on routes
+	// that are not public must carry the key of a tenant.
+	Tenants map[string]*Tenant
+	// Keys maps the hashes of keys to the tenants that hold them.
+	Keys map[KeyHash]*Tenant
 	// Malformed lists the routes and services that could not be decoded whole.
 	Malformed []error
 }
@@ -53,6 +58,8 @@
 	// Priority is the priority among requests that compete for slots; 0 is the
 	// highest.
 	Priority int
+	// Public is true if requests need no key, also where the configuration has tenants.
+	Public bool
 	// TrafficSplit lists the services among which requests are distributed by
 	// weight; each request goes to one of them. It is empty for a search.
 	TrafficSplit []WeightedService
@@ -115,6 +122,8 @@
 	ColdFor time.Duration
 	// Incarnation differs between successive processes with the same ID.
 	Incarnation int64
+	// Version is the version of the server's software.
+	Version string
 }
 
 // Request is one request of a caller.
@@ -129,6 +138,8 @@
 	Body   []byte
 	// TimeLeft is the time until the caller's deadline; 0 if it set none.
 	TimeLeft time.Duration
+	// Keys has the hashes of the keys that the caller sent. It is not sent to peers.
+	Keys []KeyHash `cbor:"-"`
 }
 
 // Path returns the target without its query.
@@ -231,6 +242,12 @@
 	// Unavailable means that state which must be persisted first, such as a claim,
 	// could not be written.
 	Unavailable
+	// Unauthorized means that the request has no key of a tenant.
+	Unauthorized
+	// QuotaExceeded means that the tenant has used up its allowance.
+	QuotaExceeded
+	// Unverified means that the instance cannot tell whether the key is still valid.
+	Unverified
 )
 
 // String returns the reason in lower case.
@@ -238,6 +255,7 @@
 	return [...]string{
 		"no-configuration", "no-route", "too-large", "malformed", "no-server", "overloaded", "timed-out",
 		"incomplete", "failed", "harmful", "abandoned", "stopping", "duplicate", "limited", "claimed", "unavailable",
+		"unauthorized", "quota-exceeded", "unverified",
 	}[r]
 }
 
