Leave early answers time to be sent as well

Cause: with the round trips alone, answers left 50 ms less 6.4 ms after the start on a kept connection and still came at 50.5 ms: merging, encoding and 3 KiB on a link of 25 Mbit/s take time.

Change: 2.5 ms more.

--- a/lentilward/scatter/margin.go
+++ b/lentilward/scatter/margin.go
@@ -12,6 +12,9 @@
 	// targetPerMaxMargin bounds the margin in any case: some of the target must be left
 	// for the servers.
 	targetPerMaxMargin = 2
+	// sendingTime is the time between the decision to answer and the last byte on a slow link:
+	// 3 KiB take 1 ms at 25 Mbit/s, and the answer must be merged and encoded before.
+	sendingTime = 2500 * time.Microsecond
 	// latenessHalfLife is the time in which a delay of this instance's timers counts half.
 	latenessHalfLife = time.Second
 	// latenessWeight is the weight of a new sample in the moving average, and
@@ -61,7 +64,7 @@
 	target := r.task.Route.TargetLatency
 	margin := min(r.policy.AnswerMargin, target/targetPerAnswerMargin)
 	if r.task.Transit > 0 {
-		margin = max(margin, r.task.Transit+r.engine.lateness.allowance(now))
+		margin = max(margin, r.task.Transit+sendingTime+r.engine.lateness.allowance(now))
 	}
 	return min(margin, target/targetPerMaxMargin)
 }
