Allow for the processor time of a request on small machines

Cause: on a machine with 0.134 of a core, reading a request and writing its answer take some 4 ms, which neither the round trip nor the lateness of timers shows.

Change: 0.5 ms of processor time divided by cpu-share, and 1.5 ms in place of 2.5 to send.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -100,6 +100,7 @@
 	})
 	g.engine.SetPolicy(scatter.Policy{
 		Hedge: o.Search.Hedge, EarlyAnswer: o.Search.EarlyAnswer, AnswerMargin: time.Duration(o.Search.AnswerMargin),
+		CPUShare: o.CPUShare,
 	})
 }
 
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -27,6 +27,8 @@
 	// AnswerMargin is how long before the target latency an early answer is sent,
 	// so that it reaches the caller in time.
 	AnswerMargin time.Duration
+	// CPUShare is the share of a core that the machine has; 0 if unknown.
+	CPUShare float64
 }
 
 // Engine runs requests.
--- a/lentilward/scatter/margin.go
+++ b/lentilward/scatter/margin.go
@@ -12,9 +12,12 @@
 	// targetPerMaxMargin bounds the margin in any case: some of the target must be left
 	// for the servers.
 	targetPerMaxMargin = 2
-	// sendingTime is the time between the decision to answer and the last byte on a slow link:
-	// 3 KiB take 1 ms at 25 Mbit/s, and the answer must be merged and encoded before.
-	sendingTime = 2500 * time.Microsecond
+	// sendingTime is the time that an answer of 3 KiB takes on a link of 25 Mbit/s, and its
+	// caller to read it.
+	sendingTime = 1500 * time.Microsecond
+	// answerCPUTime is the processor time to read a request before it counts as begun, and to
+	// merge, encode and write its answer. A machine with a share of a core takes longer.
+	answerCPUTime = 500 * time.Microsecond
 	// latenessHalfLife is the time in which a delay of this instance's timers counts half.
 	latenessHalfLife = time.Second
 	// latenessWeight is the weight of a new sample in the moving average, and
@@ -64,7 +67,16 @@
 	target := r.task.Route.TargetLatency
 	margin := min(r.policy.AnswerMargin, target/targetPerAnswerMargin)
 	if r.task.Transit > 0 {
-		margin = max(margin, r.task.Transit+sendingTime+r.engine.lateness.allowance(now))
+		processing := time.Duration(float64(answerCPUTime) / r.policy.cpuShare())
+		margin = max(margin, r.task.Transit+sendingTime+processing+r.engine.lateness.allowance(now))
 	}
 	return min(margin, target/targetPerMaxMargin)
 }
+
+// cpuShare returns the share of a core that the machine has; 1 if it is not known.
+func (p *Policy) cpuShare() float64 {
+	if p.CPUShare <= 0 {
+		return 1
+	}
+	return min(1, p.CPUShare)
+}
