--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -27,6 +27,8 @@
 	// AnswerMargin is how long before the target latency an early answer is sent,
 	// so that it reaches the caller in time.
 	AnswerMargin time.Duration
+	// CPUShare is the share of a core that the machine has; 0 if unknown.
+	CPUShare float64
 }
 
 // Engine runs requests.
@@ -51,6 +53,7 @@
 	// disconnected.
 	StartGather func(gatherer netip.AddrPort, g Gather, emit func(Partial), ended func(error)) (cancel func(abandoned bool), err error)
 
+	lateness lateness
 	// stopAt is when the last request must have its final answer; nil unless the
 	// engine is stopping, and set before stopping is closed.
 	stopAt   atomic.Pointer[time.Time]
@@ -88,7 +91,9 @@
 type Task struct {
 	Request *domain.Request
 	Route   *domain.Route
-	State   *balance.Route
+	// Tenant is the party that sent the request; nil if that is not known.
+	Tenant *domain.Tenant
+	State  *balance.Route
 	// Services has one service for each shard of a search, and otherwise the one
 	// that runs the request.
 	Services []*balance.Service
@@ -96,6 +101,9 @@
 	Admission *admission.Limit
 	// Begin is when the request arrived.
 	Begin time.Time
+	// Transit is the part of the caller's waiting time that passes on the network: the
+	// round trips to the caller. 0 if unknown.
+	Transit time.Duration
 	// Hold gets the memory of the replies; nil releases it as soon as they are read.
 	Hold *memory.Hold
 }
@@ -115,6 +123,9 @@
 	Queued int
 }
 
+// priority returns the priority of the request among those that compete for slots.
+func (t *Task) priority() int { return domain.RequestPriority(t.Route, t.Tenant) }
+
 // maxRequestTimeout bounds the time of every request, also where neither caller
 // nor route sets a timeout.
 const maxRequestTimeout = 30 * time.Second
