Serve orders of rollouts in a first version

Cause: operators move a service to another version of its servers by an order. Change: version policies in balance, decisions in rollout, wiring in the gateway.

--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -49,6 +49,7 @@
 	ID         string
 	Service    string
 	DataCentre string
+	Version    string
 	Pool       *conn.Pool
 	// Remote is set if the server is in another data centre than this instance.
 	Remote bool
@@ -86,7 +87,7 @@
 // NewServer returns a server without measurements.
 func NewServer(b domain.BackendServer, pool *conn.Pool, remote bool) *Server {
 	return &Server{
-		ID: b.ID, Service: b.Service, DataCentre: b.DataCentre, Pool: pool, Remote: remote,
+		ID: b.ID, Service: b.Service, DataCentre: b.DataCentre, Version: b.Version, Pool: pool, Remote: remote,
 		relativeLatency: 1, lastSample: time.Now(),
 	}
 }
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -18,6 +18,13 @@
 
 	mu      sync.Mutex
 	waiters []*Waiter
+
+	// versions is nil unless a version policy is set. versionMu guards what it is made of:
+	// the policy, the servers in service, and those that were and have calls in flight.
+	versions                 atomic.Pointer[versionView]
+	versionMu                sync.Mutex
+	versionPolicy            *VersionPolicy
+	inService, formerServers []*Server
 }
 
 // NewService returns a service without servers.
@@ -32,7 +39,7 @@
 	for _, server := range servers {
 		server.setOnReachable(s.wakeNext)
 	}
-	s.servers.Store(&servers)
+	s.setServersInService(servers)
 	s.wakeAll()
 }
 
@@ -93,10 +100,13 @@
 			}
 		}
 		if best == nil {
-			return nil
+			return s.acquireReserve(exclude, now)
 		}
 		if best.acquireSlot() {
-			return best
+			if s.isPermitted(best) {
+				return best
+			}
+			best.inFlight.Add(-1)
 		}
 	}
 	return nil
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -70,6 +70,8 @@
 	// records were up to date. Confirm requests another confirmation.
 	RecordAge func() time.Duration
 	Confirm   func()
+	// Rollouts has what rollouts need; nil if versions of servers do not matter.
+	Rollouts *Rollouts
 	// NewServer creates the state of a server.
 	NewServer func(domain.BackendServer) *balance.Server
 
@@ -223,6 +225,8 @@
 			}
 		case strings.HasPrefix(r.Key, d.recordFormat.InstancePrefix):
 			d.applyInstance(r)
+		case d.isRollout(r.Key):
+			d.Rollouts.Apply(r, knownAt, now)
 		default:
 			if dataCentre, ok := d.recordFormat.Withdrawn(r.Key); ok {
 				d.withdrawn[dataCentre] = !r.Deleted
@@ -304,7 +308,7 @@
 		}
 		return nil
 	}
-	if tracked != nil && (tracked.Incarnation != b.Incarnation || tracked.Address != b.Address || tracked.Service != b.Service) {
+	if tracked != nil && (tracked.Incarnation != b.Incarnation || tracked.Address != b.Address || tracked.Service != b.Service || d.changesVersion(tracked, b)) {
 		d.removeServer(r.Key, tracked, "restarted")
 		tracked = nil
 	}
--- a/lentilward/directory/snapshot.go
+++ b/lentilward/directory/snapshot.go
@@ -65,6 +65,7 @@
 	}
 	d.admissions = admissions
 	for name, service := range d.services {
+		d.setVersions(service, byService[name], now)
 		service.SetServers(byService[name])
 	}
 	d.Current.Store(snapshot)
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -60,6 +60,8 @@
 	engine       *scatter.Engine
 	metrics      *monitor.Metrics
 	fleet        *fleetSize
+	// rollouts is nil unless the settings have rollouts.
+	rollouts *rolloutRunner
 	// connecting has the addresses of the peers that connectPeer is connecting to.
 	connecting sync.Map
 	// peersCheckedAt is when checkPeers has last pinged the peers.
@@ -83,6 +85,7 @@
 	g.connectPeers()
 	g.connectDirectory()
 	g.connectCallers()
+	g.connectRollouts(store)
 	g.applySettings()
 	return g
 }
--- a/lentilward/main.go
+++ b/lentilward/main.go
@@ -71,6 +71,9 @@
 	out := newLogWriter(os.Stdout)
 	defer out.Close()
 	g := newGateway(options, newStoreClient(options.Store.Address, (&net.Dialer{}).DialContext), newLog(options, out, level), level)
+	if g.rollouts != nil {
+		g.rollouts.local.Now = bootClock
+	}
 	go watchSettings(processCtx, path, hangup, func() { g.reload(path) })
 	return g.Run(processCtx, stopCtx)
 }
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -16,6 +16,7 @@
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/memory"
+	"lentilward.org/lentilward/rollout"
 	"lentilward.org/lentilward/scatter"
 )
 
@@ -46,6 +47,10 @@
 	// Gather runs part of a search for a peer, and passes each partial result to
 	// emit.
 	Gather func(ctx context.Context, g scatter.Gather, emit func(scatter.Partial))
+	// RolloutReports and RolloutNotices handle what peers tell of rollouts; nil if the
+	// settings have none.
+	RolloutReports func([]rollout.Report) []rollout.Reply
+	RolloutNotices func([]rollout.Notice) []rollout.Confirmation
 }
 
 // NewServer returns a server. Its function fields must be set before it serves;
@@ -178,6 +183,8 @@
 			s.MergeSuspects(b.Suspects)
 			return struct{}{}, nil
 		})
+	case kindRolloutReport, kindRolloutStop:
+		return s.dispatchRollout(f)
 	}
 	s.traffic.MalformedFrames.Add(1)
 	return nil, merry.Errorf("unknown frame kind %q", f.Kind)
--- /dev/null
+++ b/lentilward/rollout/controller.go
@@ -0,0 +1,344 @@
+package rollout
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"lentilward.org/lentilward/rollout/verdict"
+	"lentilward.org/schema/domain"
+)
+
+// Bounds are the settings of rollouts.
+type Bounds struct {
+	// A bad version gets at most Share of the requests of its service, plus Slack.
+	Share, Slack float64
+	// Rollback is the time after which a bad version must get no more requests.
+	Rollback time.Duration
+}
+
+const (
+	// exposureReserve is the share of the bound that is used. The rest covers requests that
+	// were sent before an instance learned of the order, and calls in Moving until a
+	// version that turns bad is rolled back.
+	exposureReserve = 0.8
+	// Parts of the duration of a rollout. Until loadFrom permits are handed out evenly;
+	// then the rest at once, so that the version is seen under load. It is judged good from
+	// goodFrom on, and must be completed in the last finishShare of the duration.
+	loadFrom    = 0.45
+	goodFrom    = 0.7
+	finishShare = 0.25
+	maxFinish   = 4 * time.Second
+	// evenShare is the part of the exposure that the even phase gets of the share, and
+	// firstSlack and evenSlack of the slack at its begin and end.
+	evenShare  = 0.6
+	firstSlack = 0.15
+	evenSlack  = 0.45
+	// maxTrialShare and minTrial bound the permits by the service's requests, so that the
+	// old version has replies to compare with also where the slack is large.
+	maxTrialShare = 0.6
+	minTrial      = 3
+	// loadReplies is the number of replies that the phase under load must bring, and
+	// loadPeriod the time after which it ends without.
+	loadReplies = 10
+	loadPeriod  = 2 * time.Second
+	// RenewInterval is how often the record is written at least, and LapseAfter the time
+	// after which another instance takes over a record that was not.
+	RenewInterval = 2 * time.Second
+	LapseAfter    = 5 * time.Second
+	// writePause is the shortest time between two writes that only raise the exposure, and
+	// after one that failed.
+	writePause = 300 * time.Millisecond
+	// movingPeriod is how long all first calls go to the new version before the old one
+	// gets none at all, and movingBound how long an instance is waited for that does not
+	// confirm.
+	movingPeriod = time.Second
+	movingBound  = time.Second
+	// lastMoment is how long before the deadline a rollout is completed although not all
+	// instances have confirmed that they have no calls to the old version.
+	lastMoment = 500 * time.Millisecond
+	// waitPerProcess spreads the requests for permits that can't be granted, and
+	// maxAskWait bounds that.
+	waitPerProcess = 25 * time.Millisecond
+	minAskWait     = 150 * time.Millisecond
+	maxAskWait     = 1500 * time.Millisecond
+)
+
+// Controller decides one rollout. It is not safe for concurrent use.
+type Controller struct {
+	service string
+	order   Order
+	bounds  Bounds
+	log     *slog.Logger
+	// record is the record as it was last written, at revision; 0 if it was not yet.
+	record   domain.RolloutRecord
+	revision uint64
+	// startedAt is when this controller started.
+	startedAt, writtenAt, nextWriteAt time.Time
+	ledger                            *ledger
+	evidence                          *evidence
+	// badReason is why the version is judged bad; "" if it is not. goodReason is the same
+	// for a good one.
+	badReason, goodReason string
+	// newAtLoad is the number of replies of the new version at the begin of the phase under
+	// load; -1 before.
+	newAtLoad                 int
+	movingSince, closingSince time.Time
+	confirmations             map[string]confirmation
+}
+
+type confirmation struct {
+	Confirmation
+	at time.Time
+}
+
+// NewController returns the controller of an order that has no record yet, or of one whose
+// record it takes over. earlier is the present record of the service, of this order or of
+// an earlier one, at a revision; 0 if there is none.
+func NewController(self string, s State, b Bounds, log *slog.Logger, now time.Time) *Controller {
+	c := &Controller{
+		service: s.Service, order: s.Order, bounds: b, log: log, startedAt: now, newAtLoad: -1,
+		revision: s.Record.Revision, confirmations: make(map[string]confirmation),
+	}
+	c.record = domain.RolloutRecord{
+		OrderRevision: s.Order.Revision, Target: s.Order.Target, Present: s.Present, State: domain.RolloutRunning,
+		BegunAtMs: s.Order.KnownAt.UnixMilli(),
+	}
+	if s.Present == s.Order.Target {
+		c.record.State, c.movingSince = domain.RolloutMoving, now
+	}
+	if s.IsRecorded() {
+		c.record = s.Record.RolloutRecord
+		if c.record.State == domain.RolloutMoving {
+			c.movingSince = now
+		}
+		c.order.KnownAt = begunAt(s, now)
+	}
+	c.record.Controller = self
+	c.ledger, c.evidence = newLedger(c.record.Exposed), newEvidence(c.record.Requests)
+	if s.Phase == RolledBack {
+		c.judgeBad("another instance knows that it is bad")
+	}
+	c.log.Info("controlling a rollout", "service", c.service, "order", c.order.Revision, "target", c.record.Target, "present", c.record.Present,
+		"state", string(c.record.State), "exposed", c.record.Exposed, "elapsed", now.Sub(c.order.KnownAt))
+	return c
+}
+
+// begunAt returns when an order with a record was given. A process that was not running
+// then goes by the record, and by the time of day if that is later: the time of day may
+// have jumped, but less time than the record states can't have passed.
+func begunAt(s State, now time.Time) time.Time {
+	recorded := s.Record.KnownAt.Add(-time.Duration(s.Record.ElapsedMs) * time.Millisecond)
+	if s.Order.Late {
+		byClock := time.UnixMilli(s.Record.BegunAtMs)
+		if age := now.Sub(byClock.Round(0)); age > now.Sub(recorded) && age < s.Order.Duration {
+			recorded = now.Add(-age)
+		}
+		return recorded
+	}
+	if recorded.Before(s.Order.KnownAt) {
+		return recorded
+	}
+	return s.Order.KnownAt
+}
+
+// Phase returns the phase that instances should follow.
+func (c *Controller) Phase() Phase {
+	switch {
+	case c.badReason != "" && c.record.State != domain.RolloutCompleted:
+		return RolledBack
+	case c.record.State == domain.RolloutMoving && !c.closingSince.IsZero():
+		return Closing
+	}
+	return PhaseOf(c.record.State)
+}
+
+// elapsed returns the time since the order was given.
+func (c *Controller) elapsed(now time.Time) time.Duration { return now.Sub(c.order.KnownAt) }
+
+// part returns a part of the duration.
+func (c *Controller) part(share float64) time.Duration {
+	return time.Duration(share * float64(c.order.Duration))
+}
+
+// finish returns the time that the end of a rollout takes.
+func (c *Controller) finish() time.Duration { return min(maxFinish, c.part(finishShare)) }
+
+// bound returns how many first calls the new version may get for as many requests as are
+// known of.
+func (c *Controller) bound() float64 {
+	return exposureReserve * (c.bounds.Share*float64(c.evidence.requests) + c.bounds.Slack)
+}
+
+// pace returns how many first calls the new version should have got at a time.
+func (c *Controller) pace(at time.Time) float64 {
+	requests := float64(c.evidence.requests)
+	pace := c.bound()
+	if t := float64(c.elapsed(at)) / max(1, float64(c.part(loadFrom))); t < 1 {
+		even := evenShare*c.bounds.Share*requests + c.bounds.Slack*(firstSlack+(evenSlack-firstSlack)*max(0, t))
+		pace = min(pace, exposureReserve*even)
+	}
+	return min(pace, minTrial+maxTrialShare*requests)
+}
+
+// HandleReport takes over a report and grants permits.
+func (c *Controller) HandleReport(r Report, now time.Time) Reply {
+	if r.Order != c.order.Revision {
+		return Reply{Wait: maxAskWait}
+	}
+	from := process{r.Instance, r.Incarnation}
+	if !c.ledger.update(from, r.Sequence, r.Used, r.Held) {
+		return Reply{Phase: c.Phase(), Wait: maxAskWait}
+	}
+	c.evidence.add(r, c.elapsed(now), now)
+	if r.Phase == RolledBack {
+		c.judgeBad("another instance knows that it is bad")
+	}
+	c.judge(now)
+	reply := Reply{Phase: c.Phase(), Medians: c.evidence.medians(now)}
+	if reply.Phase != Running || c.writtenAt.IsZero() {
+		reply.Wait = maxAskWait
+		return reply
+	}
+	if c.newAtLoad < 0 && c.elapsed(now) >= c.part(loadFrom) {
+		c.newAtLoad = total(c.evidence.pooled()).New
+	}
+	reply.Lacking, _ = c.evidence.lacking()
+	if r.Wanted > 0 {
+		reply.Granted = c.ledger.grant(from, min(r.Wanted, int(c.pace(now))-c.ledger.committed()))
+	}
+	if reply.Granted < r.Wanted {
+		wait := min(maxAskWait, max(minAskWait, time.Duration(len(c.evidence.processes))*waitPerProcess))
+		reply.Wait = wait/2 + rand.N(wait)
+	}
+	return reply
+}
+
+// judge checks whether the version is bad.
+func (c *Controller) judge(now time.Time) {
+	if c.badReason != "" || c.record.State.IsFinal() {
+		return
+	}
+	judgement, route := c.evidence.worst()
+	if judgement != verdict.IsBad {
+		return
+	}
+	where := "on all routes together"
+	if route != "" {
+		where = "on route " + route
+	}
+	all := total(c.evidence.pooled())
+	c.judgeBad(fmt.Sprintf("%d of %d replies bad, %d of %d of the old version, worst %s, after %v", all.NewBad, all.New, all.OldBad, all.Old,
+		where, c.elapsed(now).Round(time.Millisecond)))
+}
+
+func (c *Controller) judgeBad(reason string) {
+	if c.badReason != "" || c.record.State.IsFinal() {
+		return
+	}
+	c.badReason = reason
+	c.log.Info("verdict on a rollout", "service", c.service, "order", c.order.Revision, "target", c.record.Target, "verdict", "bad", "reason", reason)
+}
+
+// isGood reports whether the version is good, and why.
+func (c *Controller) isGood(now time.Time) (reason string, good bool) {
+	if c.elapsed(now) < c.part(goodFrom) || c.newAtLoad < 0 {
+		return "", false
+	}
+	all := total(c.evidence.pooled())
+	if all.New-c.newAtLoad < loadReplies && c.elapsed(now) < c.part(loadFrom)+loadPeriod {
+		return "", false
+	}
+	lacking, enough := c.evidence.lacking()
+	judgement, _ := c.evidence.worst()
+	if !enough || len(lacking) > 0 || judgement != verdict.NoDoubt {
+		return "", false
+	}
+	return fmt.Sprintf("%d of %d replies bad, %d of %d of the old version", all.NewBad, all.New, all.OldBad, all.Old), true
+}
+
+// Step decides what follows from the time and from what is known, and returns the record
+// to write, if any. alive has the names of the alive instances, this one included, and
+// targetServers the number of servers of the target in service. The caller writes the
+// record at Revision and reports the result to Written or WriteFailed.
+func (c *Controller) Step(now time.Time, alive []string, targetServers int) (domain.RolloutRecord, bool) {
+	next := c.record
+	if c.record.State.IsFinal() || now.Before(c.nextWriteAt) {
+		return next, false
+	}
+	c.judge(now)
+	switch {
+	case c.badReason != "":
+	case c.writtenAt.IsZero():
+	case c.record.State == domain.RolloutRunning:
+		if reason, good := c.isGood(now); good {
+			c.noteGood(reason)
+			next.State = domain.RolloutMoving
+		} else if c.elapsed(now) >= c.order.Duration-c.finish()/2 {
+			all := total(c.evidence.pooled())
+			c.judgeBad(fmt.Sprintf("undecided: %d replies, %d bad", all.New, all.NewBad))
+		}
+	case c.hasMoved(now, alive):
+		if targetServers > 0 && c.isStopSafe(alive) {
+			next.State = domain.RolloutCompleted
+		} else {
+			c.judgeBad("instances or servers were lost while the traffic moved")
+		}
+	}
+	if c.badReason != "" {
+		next.State = domain.RolloutRolledBack
+	}
+	raise := int(min(c.bound(), c.pace(now.Add(RenewInterval))))
+	due := now.Sub(c.writtenAt) >= RenewInterval ||
+		c.ledger.recorded-c.ledger.committed() < minTrial && raise > c.ledger.recorded && now.Sub(c.writtenAt) >= writePause
+	// The first write makes this instance the controller.
+	if c.writtenAt.IsZero() || next.State != c.record.State || due {
+		c.complete(&next, raise, now)
+		return next, true
+	}
+	return next, false
+}
+
+// complete sets the fields that each write renews.
+func (c *Controller) complete(next *domain.RolloutRecord, raise int, now time.Time) {
+	if next.State == domain.RolloutRunning {
+		next.Exposed = max(next.Exposed, raise)
+	}
+	all := total(c.evidence.pooled())
+	next.ElapsedMs = c.elapsed(now).Milliseconds()
+	next.Requests, next.Samples, next.Bad = c.evidence.requests, max(next.Samples, all.New), max(next.Bad, all.NewBad)
+	next.Reason = c.goodReason
+	if c.badReason != "" {
+		next.Reason = c.badReason
+	}
+}
+
+func (c *Controller) noteGood(reason string) {
+	if c.goodReason == "" {
+		c.log.Info("verdict on a rollout", "service", c.service, "order", c.order.Revision, "target", c.record.Target, "verdict", "good", "reason", reason)
+	}
+	c.goodReason = reason
+}
+
+// Revision returns the revision on whose condition the record is written.
+func (c *Controller) Revision() uint64 { return c.revision }
+
+// Written records that a record was written, at a revision.
+func (c *Controller) Written(r domain.RolloutRecord, revision uint64, now time.Time) {
+	if r.State != c.record.State || c.writtenAt.IsZero() {
+		c.log.Info("rollout", "service", c.service, "order", c.order.Revision, "target", r.Target, "state", string(r.State), "exposed", r.Exposed,
+			"requests", r.Requests, "samples", r.Samples, "bad", r.Bad, "reason", r.Reason, "elapsed", c.elapsed(now), "revision", revision)
+	}
+	if r.State == domain.RolloutMoving && c.movingSince.IsZero() {
+		c.movingSince = now
+	}
+	c.record, c.revision, c.writtenAt = r, revision, now
+	c.ledger.recorded = r.Exposed
+}
+
+// WriteFailed records that a write has failed.
+func (c *Controller) WriteFailed(now time.Time) { c.nextWriteAt = now.Add(writePause) }
+
+// IsDone reports whether the end of the rollout is recorded.
+func (c *Controller) IsDone() bool { return c.record.State.IsFinal() }
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -108,6 +108,7 @@
 	c.mu.Lock()
 	detached, aborted := c.detached, c.aborted
 	c.mu.Unlock()
+	c.recordVersion(reply, err, aborted, now)
 	if aborted {
 		return
 	}
--- a/lentilward/scatter/launch.go
+++ b/lentilward/scatter/launch.go
@@ -13,6 +13,9 @@
 	if p.awaitsConnection {
 		return p.service.AcquireConnected(now)
 	}
+	if p.startedCalls == 0 {
+		return p.service.AcquireFirst(r.task.Route.Name, now)
+	}
 	s := p.service.Acquire(p.tried, now)
 	if s != nil && hedge && s.HasOverdueCall() {
 		p.service.Release(s)
