Show rollouts of whole instances, and write less while they run

Cause: the store gives each write of a transaction its own revision, so that the second step of a controller always failed; only a test of whole instances showed it. Change: the record is the last write of its transaction, an attempt whose answer was lost is recognised, and small raises of the exposure are written once a second.

--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -37,6 +37,8 @@
 	client  *platform.Store
 	// respond is the handler of the backend server.
 	respond http.HandlerFunc
+	// configure changes the settings of instances before they start; nil changes nothing.
+	configure func(*Options)
 }
 
 func newMemoryPlatform(t *testing.T) *memoryPlatform {
@@ -101,6 +103,9 @@
 	}
 	o.Store.Address, o.Apply = storeAddress, duration(maxApplyDelay)
 	o.RetryBudget.Slack, o.RetryBudget.Window, o.Stop.Grace = 50, duration(10*time.Second), duration(stopGrace)
+	if p.configure != nil {
+		p.configure(o)
+	}
 	g := newGateway(o, newStoreClient(storeAddress, dial), slog.New(slog.DiscardHandler), &slog.LevelVar{})
 	g.listen, g.links.Dial = p.network.listen, dial
 	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
--- a/lentilward/gateway_rollout.go
+++ b/lentilward/gateway_rollout.go
@@ -75,8 +75,11 @@
 	order   uint64
 	writing bool
 	// lost is set once another record was written, and doneAt once the rollout has ended.
-	lost   bool
-	doneAt time.Time
+	lost bool
+	// attempted is the last record whose write has failed: it may have been made all the
+	// same.
+	attempted domain.RolloutRecord
+	doneAt    time.Time
 	// notifiedAt has when each instance was sent a notice, told the phases that were
 	// confirmed.
 	notifiedAt map[string]time.Time
@@ -132,7 +135,8 @@
 	conditions := []platform.Condition{
 		{Key: recordWrite.Key, Revision: revision}, {Key: platform.RolloutOrderPrefix + service, Revision: record.OrderRevision},
 	}
-	return store.Commit(ctx, conditions, []platform.Write{recordWrite, status}, nil)
+	// Where the store gives each write its own revision, it returns that of the last one.
+	return store.Commit(ctx, conditions, []platform.Write{status, recordWrite}, nil)
 }
 
 // applyRecord takes over an order or a record that became known after knownAt.
--- a/lentilward/rollout/controller.go
+++ b/lentilward/rollout/controller.go
@@ -49,8 +49,9 @@
 	RenewInterval = 2 * time.Second
 	LapseAfter    = 5 * time.Second
 	// writePause is the shortest time between two writes that only raise the exposure, and
-	// after one that failed.
+	// after one that failed; raisePause is the same where it rises by little.
 	writePause = 300 * time.Millisecond
+	raisePause = time.Second
 	// movingPeriod is how long all first calls go to the new version before the old one
 	// gets none at all, and movingBound how long an instance is waited for that does not
 	// confirm.
@@ -295,8 +296,12 @@
 		next.State = domain.RolloutRolledBack
 	}
 	raise := int(min(c.bound(), c.pace(now.Add(RenewInterval))))
+	pause := raisePause
+	if raise-c.ledger.recorded > minTrial {
+		pause = writePause
+	}
 	due := now.Sub(c.writtenAt) >= RenewInterval ||
-		c.ledger.recorded-c.ledger.committed() < minTrial && raise > c.ledger.recorded && now.Sub(c.writtenAt) >= writePause
+		c.ledger.recorded-c.ledger.committed() < minTrial && raise > c.ledger.recorded && now.Sub(c.writtenAt) >= pause
 	// The first write makes this instance the controller.
 	if c.writtenAt.IsZero() || next.State != c.record.State || due {
 		c.complete(&next, raise, now)
--- a/lentilward/rollout_control.go
+++ b/lentilward/rollout_control.go
@@ -54,9 +54,13 @@
 // isOver reports whether a controller must not go on: its order was replaced, another
 // instance has written the record, or the end was told long enough.
 func (r *rolloutRunner) isOver(c *rolloutControl, state rollout.State, now time.Time) bool {
-	switch {
-	case c.writing:
+	if c.writing {
 		return false
+	}
+	if state.Record.Revision > c.Revision() && state.Record.RolloutRecord == c.attempted {
+		c.Written(c.attempted, state.Record.Revision, now)
+	}
+	switch {
 	case c.lost, c.order != state.Order.Revision, r.isStopping(), state.Record.Revision > c.Revision():
 		return true
 	}
@@ -102,6 +106,7 @@
 		c.lost = true
 	default:
 		r.log.Info("writing the record of a rollout failed", "service", service, "state", string(record.State), "error", err)
+		c.attempted = record
 		c.WriteFailed(now)
 	}
 }
