--- a/lentilward/rollout/controller.go
+++ b/lentilward/rollout/controller.go
@@ -10,63 +10,6 @@
 	"lentilward.org/schema/domain"
 )
 
-// Bounds are the settings of rollouts.
-type Bounds struct {
-	// A bad version gets at most Share of the requests of its service, plus Slack.
-	Share, Slack float64
-	// Rollback is the time after which a bad version must get no more requests.
-	Rollback time.Duration
-}
-
-const (
-	// exposureReserve is the share of the bound that is used. The rest covers requests that
-	// were sent before an instance learned of the order, and calls in Moving until a
-	// version that turns bad is rolled back.
-	exposureReserve = 0.8
-	// Parts of the duration of a rollout. Until loadFrom permits are handed out evenly;
-	// then the rest at once, so that the version is seen under load. It is judged good from
-	// goodFrom on, by fewer replies from relaxedFrom on, and must be completed in the last finishShare of the duration.
-	loadFrom    = 0.45
-	goodFrom    = 0.7
-	relaxedFrom = 0.8
-	finishShare = 0.25
-	maxFinish   = 4 * time.Second
-	// evenShare is the part of the exposure that the even phase gets of the share, and
-	// firstSlack and evenSlack of the slack at its begin and end.
-	evenShare  = 0.6
-	firstSlack = 0.15
-	evenSlack  = 0.45
-	// maxTrialShare and minTrial bound the permits by the service's requests, so that the
-	// old version has replies to compare with also where the slack is large.
-	maxTrialShare = 0.6
-	minTrial      = 3
-	// loadReplies is the number of replies that the phase under load must bring, and
-	// loadPeriod the time after which it ends without.
-	loadReplies = 10
-	loadPeriod  = 2 * time.Second
-	// RenewInterval is how often the record is written at least, and LapseAfter the time
-	// after which another instance takes over a record that was not.
-	RenewInterval = 2 * time.Second
-	LapseAfter    = 5 * time.Second
-	// writePause is the shortest time between two writes that only raise the exposure, and
-	// after one that failed; raisePause is the same where it rises by little.
-	writePause = 300 * time.Millisecond
-	raisePause = time.Second
-	// movingPeriod is how long all first calls go to the new version before the old one
-	// gets none at all, and movingBound how long an instance is waited for that does not
-	// confirm.
-	movingPeriod = time.Second
-	movingBound  = time.Second
-	// lastMoment is how long before the deadline a rollout is completed although not all
-	// instances have confirmed that they have no calls to the old version.
-	lastMoment = 500 * time.Millisecond
-	// waitPerProcess spreads the requests for permits that can't be granted, and
-	// maxAskWait bounds that.
-	waitPerProcess = 25 * time.Millisecond
-	minAskWait     = 150 * time.Millisecond
-	maxAskWait     = 1500 * time.Millisecond
-)
-
 // Controller decides one rollout. It is not safe for concurrent use.
 type Controller struct {
 	service string
@@ -85,7 +28,9 @@
 	badReason, goodReason string
 	// newAtLoad is the number of replies of the new version at the begin of the phase under
 	// load; -1 before.
-	newAtLoad                 int
+	newAtLoad int
+	// suspectSince is since when the version looks bad; zero if it does not.
+	suspectSince              time.Time
 	movingSince, closingSince time.Time
 	confirmations             map[string]confirmation
 }
@@ -167,23 +112,6 @@
 // finish returns the time that the end of a rollout takes.
 func (c *Controller) finish() time.Duration { return min(maxFinish, c.part(finishShare)) }
 
-// bound returns how many first calls the new version may get for as many requests as are
-// known of.
-func (c *Controller) bound() float64 {
-	return exposureReserve * (c.bounds.Share*float64(c.evidence.requests) + c.bounds.Slack)
-}
-
-// pace returns how many first calls the new version should have got at a time.
-func (c *Controller) pace(at time.Time) float64 {
-	requests := float64(c.evidence.requests)
-	pace := c.bound()
-	if t := float64(c.elapsed(at)) / max(1, float64(c.part(loadFrom))); t < 1 {
-		even := evenShare*c.bounds.Share*requests + c.bounds.Slack*(firstSlack+(evenSlack-firstSlack)*max(0, t))
-		pace = min(pace, exposureReserve*even)
-	}
-	return min(pace, minTrial+maxTrialShare*requests)
-}
-
 // HandleReport takes over a report and grants permits.
 func (c *Controller) HandleReport(r Report, now time.Time) Reply {
 	if r.Order != c.order.Revision {
@@ -207,6 +135,10 @@
 		c.newAtLoad = total(c.evidence.pooled()).New
 	}
 	reply.Lacking, _ = c.evidence.lacking(1)
+	if !c.suspectSince.IsZero() {
+		reply.Wait = minAskWait
+		return reply
+	}
 	if r.Wanted > 0 {
 		reply.Granted = c.ledger.grant(from, min(r.Wanted, int(c.pace(now))-c.ledger.committed()))
 	}
@@ -224,6 +156,13 @@
 	}
 	judgement, route := c.evidence.worst()
 	if judgement != verdict.IsBad {
+		c.suspectSince = time.Time{}
+		return
+	}
+	if c.suspectSince.IsZero() {
+		c.suspectSince = now
+	}
+	if c.record.State == domain.RolloutRunning && now.Sub(c.suspectSince) < settlePeriod {
 		return
 	}
 	where := "on all routes together"
--- a/lentilward/rollout/evidence.go
+++ b/lentilward/rollout/evidence.go
@@ -88,31 +88,37 @@
 	e.requests = max(e.recorded, sum)
 }
 
-// spans returns the samples of a route by time.
-func (e *evidence) spans(route string) []verdict.Sample {
-	var list []verdict.Sample
-	for _, span := range slices.Sorted(maps.Keys(e.routes[route])) {
-		list = append(list, e.routes[route][span])
-	}
-	return list
-}
-
 // pooled returns the samples of all routes by time.
-func (e *evidence) pooled() []verdict.Sample {
+func (e *evidence) pooled() map[int]verdict.Sample {
 	sums := make(map[int]verdict.Sample)
 	for _, spans := range e.routes {
 		for span, s := range spans {
 			sums[span] = sums[span].Plus(s)
 		}
 	}
-	var list []verdict.Sample
-	for _, span := range slices.Sorted(maps.Keys(sums)) {
-		list = append(list, sums[span])
+	return sums
+}
+
+// judge judges samples by time. Replies of the same moment may be told in adjacent spans,
+// so a version must be worse also where spans are taken together by twos, in both ways.
+func judge(spans map[int]verdict.Sample) verdict.Judgement {
+	best := verdict.IsBad
+	for _, group := range []struct{ width, shift int }{{1, 0}, {2, 0}, {2, 1}} {
+		sums := make(map[int]verdict.Sample)
+		for span, s := range spans {
+			n := (span + group.shift) / group.width
+			sums[n] = sums[n].Plus(s)
+		}
+		var list []verdict.Sample
+		for _, n := range slices.Sorted(maps.Keys(sums)) {
+			list = append(list, sums[n])
+		}
+		best = min(best, verdict.Judge(list))
 	}
-	return list
+	return best
 }
 
-func total(spans []verdict.Sample) verdict.Sample {
+func total(spans map[int]verdict.Sample) verdict.Sample {
 	var sum verdict.Sample
 	for _, s := range spans {
 		sum = sum.Plus(s)
@@ -123,9 +129,9 @@
 // worst returns the judgement of all routes, and the route of the worst; "" for all
 // together.
 func (e *evidence) worst() (verdict.Judgement, string) {
-	worst, where := verdict.Judge(e.pooled()), ""
+	worst, where := judge(e.pooled()), ""
 	for _, route := range slices.Sorted(maps.Keys(e.routes)) {
-		if j := verdict.Judge(e.spans(route)); j > worst {
+		if j := judge(e.routes[route]); j > worst {
 			worst, where = j, route
 		}
 	}
@@ -137,7 +143,7 @@
 // that suffices.
 func (e *evidence) lacking(need float64) (routes []string, enough bool) {
 	for _, route := range slices.Sorted(maps.Keys(e.routes)) {
-		t := total(e.spans(route))
+		t := total(e.routes[route])
 		replies := t.New + t.Old
 		if replies >= minRouteReplies && float64(t.New) < need*min(minSamples, sampleShare*float64(replies)) {
 			routes = append(routes, route)
--- a/lentilward/rollout/local/local_test.go
+++ b/lentilward/rollout/local/local_test.go
@@ -119,7 +119,8 @@
 		}
 		time.Sleep(time.Second)
 		s.grant(t, 2)
-		if !take() || !take() || take() {
+		first, second := take(), take()
+		if !first || !second || take() {
 			t.Error("two permits are not good for two calls")
 		}
 		time.Sleep(time.Second)
