Bound all times of rollouts by the time for a rollback

Cause: the setting rollouts.rollback had no effect, an instance that was cut off in moving could refuse requests once the old servers had stopped, and looks at the replies were many. Change: permits and leases are parts of that time; the new version is in reserve for an instance that is cut off; the replies are judged ten times a second at most.

--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -139,7 +139,7 @@
 			return true
 		}
 	}
-	return false
+	return s.isReserveReachable(now)
 }
 
 // ResumesAt returns the first time at which a server takes calls again that has asked
--- a/lentilward/balance/version.go
+++ b/lentilward/balance/version.go
@@ -175,6 +175,12 @@
 	return server
 }
 
+// isReserveReachable reports whether a server of the version in reserve is reachable.
+func (s *Service) isReserveReachable(now time.Time) bool {
+	view := s.versions.Load()
+	return view != nil && view.reserve != nil && view.reserve.IsReachable(now)
+}
+
 // isPermitted reports whether the version policy still permits a server whose slot was
 // just taken. The policy may have changed since the server was chosen.
 func (s *Service) isPermitted(server *Server) bool {
--- a/lentilward/balance/version_test.go
+++ b/lentilward/balance/version_test.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// Guards against requests that are refused while only the version in reserve is reachable.
+func TestReserveIsReachable(t *testing.T) {
+	s := newVersionedService("v1", "v2")
+	s.SetVersionPolicy(&VersionPolicy{Prefer: "v2", Reserve: "v1"})
+	now := time.Now()
+	s.inService[1].RecordWrongServer(now)
+	if server := s.Acquire(nil, now); !s.IsReachable(now) || server == nil || server.Version != "v1" {
+		t.Errorf("reachable %v, got %v", s.IsReachable(now), server)
+	}
+	s.SetVersionPolicy(&VersionPolicy{Prefer: "v2"})
+	if s.IsReachable(now) {
+		t.Error("reachable without a reserve")
+	}
+}
+
 // Guards against calls to old servers that start unseen while these are taken to be idle:
 // once the policy is set and no call is in flight, none may start.
 func TestNoCallStartsOnceOldServersAreIdle(t *testing.T) {
--- a/lentilward/gateway_rollout.go
+++ b/lentilward/gateway_rollout.go
@@ -105,6 +105,7 @@
 		},
 	}
 	g.rollouts, r.local.OnAsk = r, r.wakeUp
+	r.local.Rollback = func() time.Duration { return r.bounds().Rollback }
 	g.peers.RolloutReports, g.peers.RolloutNotices = r.handleReports, r.handleNotices
 	g.directory.Rollouts = &directory.Rollouts{
 		Prefixes: []string{platform.RolloutOrderPrefix, platform.RolloutRecordPrefix}, Apply: r.applyRecord, SetServers: r.local.SetServers,
--- a/lentilward/rollout/controller.go
+++ b/lentilward/rollout/controller.go
@@ -31,6 +31,7 @@
 	newAtLoad int
 	// suspectSince is since when the version looks bad; zero if it does not.
 	suspectSince              time.Time
+	judgedAt                  time.Time
 	movingSince, closingSince time.Time
 	confirmations             map[string]confirmation
 }
@@ -125,7 +126,6 @@
 	if r.Phase == RolledBack {
 		c.judgeBad("another instance knows that it is bad")
 	}
-	c.judge(now)
 	reply := Reply{Phase: c.Phase(), Medians: c.evidence.medians(now)}
 	if reply.Phase != Running || c.writtenAt.IsZero() {
 		reply.Wait = maxAskWait
@@ -151,9 +151,10 @@
 
 // judge checks whether the version is bad.
 func (c *Controller) judge(now time.Time) {
-	if c.badReason != "" || c.record.State.IsFinal() {
+	if c.badReason != "" || c.record.State.IsFinal() || now.Sub(c.judgedAt) < judgeInterval {
 		return
 	}
+	c.judgedAt = now
 	judgement, route := c.evidence.worst()
 	if judgement != verdict.IsBad {
 		c.suspectSince = time.Time{}
@@ -162,7 +163,7 @@
 	if c.suspectSince.IsZero() {
 		c.suspectSince = now
 	}
-	if c.record.State == domain.RolloutRunning && now.Sub(c.suspectSince) < settlePeriod {
+	if c.record.State == domain.RolloutRunning && now.Sub(c.suspectSince) < min(settlePeriod, c.bounds.Rollback/4) {
 		return
 	}
 	where := "on all routes together"
--- a/lentilward/rollout/evidence.go
+++ b/lentilward/rollout/evidence.go
@@ -102,6 +102,9 @@
 // judge judges samples by time. Replies of the same moment may be told in adjacent spans,
 // so a version must be worse also where spans are taken together by twos, in both ways.
 func judge(spans map[int]verdict.Sample) verdict.Judgement {
+	if total(spans).NewBad == 0 {
+		return verdict.NoDoubt
+	}
 	best := verdict.IsBad
 	for _, group := range []struct{ width, shift int }{{1, 0}, {2, 0}, {2, 1}} {
 		sums := make(map[int]verdict.Sample)
--- a/lentilward/rollout/local/local.go
+++ b/lentilward/rollout/local/local.go
@@ -4,8 +4,8 @@
 
 import (
 	"log/slog"
-	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,10 +19,14 @@
 	// the present one before the service follows them without an order: the servers of a
 	// rollout may become known before its order.
 	followDelay = 2 * time.Second
-	// movingLease is how long an instance sends first calls to a version that is moving without
-	// hearing from the controller. An instance that is cut off would not learn of a
-	// rollback.
-	movingLease = 2 * time.Second
+	// ttlShare is the part of the time for a rollback for which permits are valid at most,
+	// and leaseShare the one for which an instance prefers the new version while the
+	// traffic moves without hearing from the controller: one that is cut off would not
+	// learn of a rollback.
+	ttlShare   = 0.4
+	leaseShare = 0.6
+	// defaultRollback is the time for a rollback if it is not set.
+	defaultRollback = 5 * time.Second
 )
 
 // Rollouts knows the orders of rollouts, follows their phases, and gives each service its
@@ -32,6 +36,8 @@
 	// Now returns the time on a clock that also counts while the machine is suspended. It
 	// is used for permits and leases.
 	Now func() time.Duration
+	// Rollback returns the time after which a bad version must get no more requests.
+	Rollback func() time.Duration
 	// OnAsk is called when a report should be sent at once. It must not block.
 	OnAsk func()
 
@@ -42,7 +48,10 @@
 // New returns a Rollouts without orders.
 func New(log *slog.Logger) *Rollouts {
 	start := time.Now()
-	return &Rollouts{log: log, services: make(map[string]*Service), OnAsk: func() {}, Now: func() time.Duration { return time.Since(start) }}
+	return &Rollouts{
+		log: log, services: make(map[string]*Service), OnAsk: func() {}, Rollback: func() time.Duration { return defaultRollback },
+		Now: func() time.Duration { return time.Since(start) },
+	}
 }
 
 // Service is the state of one service on this instance.
@@ -76,6 +85,7 @@
 	phase           rollout.Phase
 	order           uint64
 	present, target string
+	cutOff          bool
 	balancer        *balance.Service
 }
 
@@ -104,8 +114,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []*Service
-	for _, name := range slices.Sorted(maps.Keys(r.services)) {
-		s := r.services[name]
+	for _, s := range r.services {
 		s.mu.Lock()
 		s.apply(now)
 		if s.order.Revision != 0 {
@@ -113,9 +122,15 @@
 		}
 		s.mu.Unlock()
 	}
+	slices.SortFunc(list, func(a, b *Service) int { return strings.Compare(a.name, b.name) })
 	return list
 }
 
+// part returns a part of the time for a rollback.
+func (r *Rollouts) part(share float64) time.Duration {
+	return time.Duration(share * float64(r.Rollback()))
+}
+
 // SetOrder takes over an order; one without a target means that the order was deleted.
 func (r *Rollouts) SetOrder(service string, o rollout.Order, now time.Time) {
 	s := r.service(service)
@@ -208,10 +223,8 @@
 		return
 	}
 	phase, target, present := s.phase(), s.order.Target, s.present
-	if phase == rollout.Moving && s.local.Now()-s.heardAt > movingLease {
-		phase = rollout.Running
-	}
-	next := appliedPolicy{phase: phase, order: s.order.Revision, present: present, target: target, balancer: s.balancer}
+	cutOff := (phase == rollout.Moving || phase == rollout.Closing) && s.local.Now()-s.heardAt > s.local.part(leaseShare)
+	next := appliedPolicy{phase: phase, cutOff: cutOff, order: s.order.Revision, present: present, target: target, balancer: s.balancer}
 	if next == s.applied {
 		return
 	}
@@ -223,10 +236,17 @@
 		if target != present {
 			policy.Trial = target
 		}
-	case rollout.Moving:
-		policy.Prefer, policy.Reserve, policy.OnResult = target, present, s.recordResult
-	case rollout.Closing:
-		policy.Prefer, policy.OnResult = target, s.recordResult
+	case rollout.Moving, rollout.Closing:
+		policy.OnResult = s.recordResult
+		switch {
+		case cutOff:
+			// The old servers may have been stopped meanwhile; then the new ones serve.
+			policy.Reserve = target
+		case phase == rollout.Moving:
+			policy.Prefer, policy.Reserve = target, present
+		default:
+			policy.Prefer = target
+		}
 	case rollout.Completed:
 		policy.Prefer = target
 	case rollout.RolledBack:
--- a/lentilward/rollout/local/permits.go
+++ b/lentilward/rollout/local/permits.go
@@ -264,7 +264,7 @@
 		p.route(name).fleetMedian = median
 	}
 	for range reply.Granted {
-		p.expiries = append(p.expiries, p.askedAt+rollout.PermitTTL)
+		p.expiries = append(p.expiries, p.askedAt+min(rollout.PermitTTL, s.local.part(ttlShare)))
 	}
 	p.heldSent = len(p.expiries)
 	p.nextAskAt = s.local.Now() + reply.Wait
--- a/lentilward/rollout/messages.go
+++ b/lentilward/rollout/messages.go
@@ -111,7 +111,7 @@
 // Bad returns the number of bad replies.
 func (c VersionCount) Bad() int { return min(c.Replies, c.Failures+c.Slow) }
 
-// PermitTTL is how long a permit is valid. An instance that can't reach the controller
+// PermitTTL is how long a permit is valid at most. An instance that can't reach the controller
 // sends nothing to the new version after it, which must be well within the time in which a
 // bad version is rolled back.
 const PermitTTL = 2 * time.Second
--- a/lentilward/rollout/pace.go
+++ b/lentilward/rollout/pace.go
@@ -19,8 +19,8 @@
 	// then the rest at once, so that the version is seen under load. It is judged good from
 	// goodFrom on, by fewer replies from relaxedFrom on, and must be completed in the last finishShare of the duration.
 	loadFrom    = 0.45
-	goodFrom    = 0.7
-	relaxedFrom = 0.8
+	goodFrom    = 0.75
+	relaxedFrom = 0.83
 	finishShare = 0.25
 	maxFinish   = 4 * time.Second
 	// evenShare is the part of the exposure that the even phase gets of the share, and
@@ -45,6 +45,8 @@
 	// old one with the next request for permits: when all servers turn slow, the new
 	// version's come first.
 	settlePeriod = 1200 * time.Millisecond
+	// judgeInterval is the shortest time between two looks at the replies.
+	judgeInterval = 100 * time.Millisecond
 	// writePause is the shortest time between two writes that only raise the exposure, and
 	// after one that failed; raisePause is the same where it rises by little.
 	writePause = 300 * time.Millisecond
