--- a/lentilward/rollout/controller.go
+++ b/lentilward/rollout/controller.go
@@ -131,9 +131,6 @@
 		reply.Wait = maxAskWait
 		return reply
 	}
-	if c.newAtLoad < 0 && c.elapsed(now) >= c.part(loadFrom) {
-		c.newAtLoad = total(c.evidence.pooled()).New
-	}
 	reply.Lacking, _ = c.evidence.lacking(1)
 	if !c.suspectSince.IsZero() {
 		reply.Wait = minAskWait
@@ -214,6 +211,9 @@
 		return next, false
 	}
 	c.judge(now)
+	if c.newAtLoad < 0 && c.elapsed(now) >= c.part(loadFrom) {
+		c.newAtLoad = total(c.evidence.pooled()).New
+	}
 	switch {
 	case c.badReason != "":
 	case c.writtenAt.IsZero():
