Do not limit searches because servers with short queues refuse calls

Cause: servers that refuse a share of their calls without being loaded made searches miss parts, and each such search lowered the limit by 0.6. The limit then refused most searches for 15 s, also after the servers had recovered.

Change: refusals count only while the queues are longer than half of what is tolerated.

--- a/lentilward/admission/limit.go
+++ b/lentilward/admission/limit.go
@@ -237,7 +237,10 @@
 	defer a.mu.Unlock()
 	a.advance(now)
 	delay, maxDelay := a.queueDelay(route, target, median, now), a.maxQueueDelay()
-	a.free = delay <= maxDelay/2 && !refused
+	// Servers that refuse while their queues are short do so for another reason, and fewer
+	// searches would not change that.
+	refused = refused && delay > maxDelay/2
+	a.free = delay <= maxDelay/2
 	if delay < maxDelay && !refused {
 		a.congested = 0
 	} else if a.congested++; a.congested == 1 {
--- a/lentilward/admission/limit_test.go
+++ b/lentilward/admission/limit_test.go
@@ -361,3 +361,21 @@
 		t.Fatalf("limit of %.1f searches a second with 50 a second, want 15 to 50", limit)
 	}
 }
+
+// Guards against a limit that is set because servers refuse calls while their queues are
+// short, as they do when they are faulty: it refused most searches for 15 s, also after the
+// servers had recovered.
+func TestRefusalsOfServersWithShortQueuesDoNotLimitSearches(t *testing.T) {
+	a, now, refused := New(), time.Now(), 0
+	for i := range 400 {
+		now = now.Add(50 * time.Millisecond)
+		if _, ok := a.Admit("r", 0, now); !ok {
+			refused++
+			continue
+		}
+		a.Observe("r", modelTarget, modelTarget/10, i > 100 && i < 300 && i%10 > 0, now)
+	}
+	if refused > 0 {
+		t.Errorf("refused %d of 400 searches", refused)
+	}
+}
