Authenticate callers by key, and refuse keys that may have been withdrawn

The configuration lists tenants with keys, and nothing checked them. An instance that can't reach the store would go on accepting a key that was withdrawn, also after a freeze. On the HTTP face a route that is not public now needs exactly one valid key, checked on arrival and again when the body has come; servers get the tenant's name in its place. Where revocation.within is set, each answer of the store proves the moment of its question on the boot clock, instances that don't read the store ask one that does (frame proof), and requests with keys are refused as not run while the last proof is too old.

--- a/lentilward/blackboard/members.go
+++ b/lentilward/blackboard/members.go
@@ -1,7 +1,9 @@
 package blackboard
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -109,6 +111,15 @@
 	return m.State == Alive || m.State == Suspected
 }
 
+// Ranked returns the active members in the rendezvous hashing order of a key.
+func (m *Members) Ranked(key string) []Member {
+	active := lo.Filter(m.List, func(member Member, _ int) bool { return member.isActive() })
+	slices.SortFunc(active, func(a, b Member) int {
+		return cmp.Compare(xxhash.Sum64String(b.Name+"\x00"+key), xxhash.Sum64String(a.Name+"\x00"+key))
+	})
+	return active
+}
+
 // Rank returns how many other active members precede this instance in the
 // rendezvous hashing order of a key; 0 if none does.
 func (m *Members) Rank(key string) int {
--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -37,10 +37,17 @@
 	client  *platform.Store
 	// respond is the handler of the backend server.
 	respond http.HandlerFunc
+	// configure changes the settings of instances, and prepare their components, before
+	// they start.
+	configure func(*Options)
+	prepare   func(number int, g *Gateway)
 }
 
 func newMemoryPlatform(t *testing.T) *memoryPlatform {
-	p := &memoryPlatform{ctx: t.Context(), network: newMemoryNetwork(t), store: standin.New(1)}
+	p := &memoryPlatform{
+		ctx: t.Context(), network: newMemoryNetwork(t), store: standin.New(1),
+		configure: func(*Options) {}, prepare: func(int, *Gateway) {},
+	}
 	p.serve(t, storeAddress, p.store.Handler())
 	backendServer := netip.MustParseAddrPort("10.9.0.1:80")
 	p.respond = func(w http.ResponseWriter, r *http.Request) {
@@ -101,6 +108,7 @@
 	}
 	o.Store.Address, o.Apply = storeAddress, duration(maxApplyDelay)
 	o.RetryBudget.Slack, o.RetryBudget.Window, o.Stop.Grace = 50, duration(10*time.Second), duration(stopGrace)
+	p.configure(o)
 	g := newGateway(o, newStoreClient(storeAddress, dial), slog.New(slog.DiscardHandler), &slog.LevelVar{})
 	g.listen, g.links.Dial = p.network.listen, dial
 	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
@@ -110,6 +118,7 @@
 		}
 		return balance.NewServer(b, pool, false)
 	}
+	p.prepare(number, g)
 	processCtx, cancel := context.WithCancel(p.ctx)
 	stopCtx, stop := context.WithCancel(processCtx)
 	stopped = make(chan struct{})
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -16,6 +16,7 @@
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/mirror"
+	"lentilward.org/lentilward/proof"
 	"lentilward.org/schema/domain"
 )
 
@@ -72,6 +73,9 @@
 	Confirm   func()
 	// NewServer creates the state of a server.
 	NewServer func(domain.BackendServer) *balance.Server
+	// OnProof is called with a time at which the store had no newer records than those that
+	// Current shows.
+	OnProof func(at proof.Time)
 
 	recordFormat RecordFormat
 	drainPeriod  atomic.Int64
@@ -85,6 +89,8 @@
 	pending        []mirror.Record
 	pendingKnownAt time.Time
 	applying       bool
+	// pendingProof is the latest proof about records that are not all applied.
+	pendingProof proof.Time
 
 	configuration *domain.Configuration
 	withdrawn     map[string]bool
@@ -119,7 +125,7 @@
 		recordFormat: format, log: log, wake: make(chan struct{}, 1),
 		withdrawn: make(map[string]bool), servers: make(map[string]*trackedServer),
 		services: make(map[string]*balance.Service), routes: make(map[string]*balance.Route),
-		admissions: make(map[string]*admission.Limit),
+		admissions: make(map[string]*admission.Limit), pendingProof: proof.None, OnProof: func(proof.Time) {},
 	}
 	d.retryBudget.Store(&balance.RetryBudget{})
 	d.SetDrainPeriod(0)
@@ -193,13 +199,11 @@
 	now := time.Now()
 	d.confirmedAt = now.Add(-d.RecordAge())
 	d.mu.Lock()
-	records, knownAt := d.pending, d.pendingKnownAt
-	d.pending, d.applying = nil, true
+	records, knownAt, proven := d.pending, d.pendingKnownAt, d.pendingProof
+	d.pending, d.applying, d.pendingProof = nil, true, proof.None
 	d.mu.Unlock()
 	d.applyRecords(ctx, records, knownAt, now)
-	d.mu.Lock()
-	d.applying = false
-	d.mu.Unlock()
+	d.finishApplying(proven)
 }
 
 // HasPending reports whether records are queued that Current does not show yet.
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -19,6 +19,7 @@
 	"lentilward.org/lentilward/mirror"
 	"lentilward.org/lentilward/monitor"
 	"lentilward.org/lentilward/peer"
+	"lentilward.org/lentilward/proof"
 	"lentilward.org/lentilward/registration"
 	"lentilward.org/lentilward/scatter"
 	"lentilward.org/lentilward/suspect"
@@ -60,6 +61,8 @@
 	engine       *scatter.Engine
 	metrics      *monitor.Metrics
 	fleet        *fleetSize
+	// fence refuses requests with keys while nothing proves that these are still valid.
+	fence *proof.Fence
 	// connecting has the addresses of the peers that connectPeer is connecting to.
 	connecting sync.Map
 	// peersCheckedAt is when checkPeers has last pinged the peers.
@@ -83,6 +86,7 @@
 	g.connectPeers()
 	g.connectDirectory()
 	g.connectCallers()
+	g.connectProof()
 	g.applySettings()
 	return g
 }
@@ -95,6 +99,7 @@
 		debug.SetMemoryLimit(int64(float64(o.Memory) * heapMemoryShare * (1 << 20)))
 	}
 	g.directory.SetDrainPeriod(time.Duration(o.Drain))
+	g.fence.SetWithin(time.Duration(o.Revocation.Within))
 	g.directory.SetRetryBudget(balance.RetryBudget{
 		Ratio: o.RetryBudget.Ratio, Slack: o.RetryBudget.Slack, Window: time.Duration(o.RetryBudget.Window),
 	})
@@ -271,7 +276,7 @@
 	g.peers.Gather = g.gather
 	g.callers = web.New(web.Format{
 		DecodeRequest: platform.DecodeRequest, EncodeAnswer: platform.EncodeAnswer,
-		EncodeRefusal: platform.EncodeRefusal,
+		EncodeRefusal: platform.EncodeRefusal, SetTenant: platform.SetTenant,
 	}, g.directory, g.engine, g.log)
 	g.callers.Memory = g.options.Load().newMemory(requestMemoryShare)
 	g.callers.IsPoison = func(r *domain.Request) bool { return g.suspects.IsPoison(suspect.RequestFingerprint(r)) }
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -50,6 +50,7 @@
 	go g.directory.Run(processCtx)
 	go g.prober.Run(processCtx)
 	go g.follower.Run(processCtx)
+	go g.keepProven(processCtx)
 	go g.keepRegistered(registered)
 	go g.poisonWriter.Run(processCtx)
 	go g.transferState(processCtx)
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"lentilward.org/lentilward/proof"
 )
 
 // WatchGracePeriod is how much longer than its wait a watch may take before it is
@@ -17,6 +19,8 @@
 	// waitJitterDivisor sets the jitter of watches: a wait is shortened by up to
 	// Follower.MaxWatchWait/waitJitterDivisor.
 	waitJitterDivisor = 3
+	// proofJitterDivisor is the same where proofs are needed: shorter watches are more calls.
+	proofJitterDivisor = 8
 	// pageTimeout bounds the call that lists one page.
 	pageTimeout = 2 * time.Second
 	// minBackoff and maxBackoff bound the backoff after a failed call. The pause
@@ -76,12 +80,22 @@
 	// ReadsStore reports whether this instance is to read the store; the others get
 	// the records from peers.
 	ReadsStore func() bool
+	// MaxProofWait returns the longest wait of a watch with which its answers are proofs that
+	// are new enough; 0 if none are needed.
+	MaxProofWait func() time.Duration
+	// Clock reads the boot clock. OnProof is called after each answer of the store with the
+	// latest moment at which the store is known to have had no newer records than the mirror.
+	Clock   func() (proof.Time, error)
+	OnProof func(at proof.Time)
 }
 
 // NewFollower returns a follower. List, Watch and MaxWatchWait must be set
 // before Run is called; ReadsStore returns true by default.
 func NewFollower(m *Mirror, log *slog.Logger) *Follower {
-	return &Follower{mirror: m, log: log, confirmRequested: make(chan struct{}, 1), ReadsStore: func() bool { return true }}
+	return &Follower{
+		mirror: m, log: log, confirmRequested: make(chan struct{}, 1), ReadsStore: func() bool { return true },
+		MaxProofWait: func() time.Duration { return 0 }, Clock: proof.BootTime, OnProof: func(proof.Time) {},
+	}
 }
 
 // Run keeps the mirror up to date until the context ends.
@@ -144,8 +158,7 @@
 	if f.mirror.Revision() == 0 {
 		return f.listAll(ctx)
 	}
-	// Jitter keeps the watches of several instances from ending together.
-	wait := f.MaxWatchWait - rand.N(f.MaxWatchWait/waitJitterDivisor+1)
+	wait := f.watchWait()
 	select {
 	case <-f.confirmRequested:
 		wait = confirmWait
@@ -162,6 +175,15 @@
 	return err
 }
 
+// watchWait returns the wait of the next watch. Jitter keeps the watches of several
+// instances from ending together.
+func (f *Follower) watchWait() time.Duration {
+	if wait := f.MaxProofWait(); wait > 0 && wait < f.MaxWatchWait {
+		return wait - rand.N(wait/proofJitterDivisor+1)
+	}
+	return f.MaxWatchWait - rand.N(f.MaxWatchWait/waitJitterDivisor+1)
+}
+
 // watch waits for changes and applies them. A request by Confirm interrupts it with
 // errConfirm, unless its wait is confirmWait.
 func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
@@ -178,6 +200,7 @@
 			}
 		}()
 	}
+	asked, clockErr := f.Clock()
 	begunAt := time.Now()
 	page, err := f.Watch(watchCtx, f.mirror.Revision(), wait)
 	if errors.Is(err, ErrCompacted) {
@@ -190,6 +213,9 @@
 	// The store replied no later than at the end of the wait, even if the reply was
 	// on its way for longer.
 	f.MarkCurrent(max(0, time.Since(begunAt)-wait))
+	if clockErr == nil {
+		f.proveByWatch(asked, wait, len(page.Records) > 0)
+	}
 	if len(page.Records) > 0 {
 		// Changes come in bursts, and every call to the store is billed.
 		f.awaitConfirmRequest(ctx, batchDelay)
@@ -197,12 +223,31 @@
 	return nil
 }
 
+// proveByWatch reports what a watch proves that has returned. Changes prove the moment at
+// which it was asked. None prove at most the end of its wait, less the time for which the
+// watches of the store may hear nothing: the reply may have been read much later.
+func (f *Follower) proveByWatch(asked proof.Time, wait time.Duration, changed bool) {
+	at := asked
+	if !changed {
+		now, err := f.Clock()
+		if err != nil {
+			return
+		}
+		if now.Sub(asked) >= wait {
+			at = at.Add(wait)
+		}
+		at = at.Add(-proof.WatchGap)
+	}
+	f.OnProof(at)
+}
+
 // listAll reads all records. The pages do not form a snapshot, so the mirror gets
 // the revision of the first page, and the next watch returns the changes since.
 func (f *Follower) listAll(ctx context.Context) error {
 	var records []Record
 	var revision uint64
 	after := ""
+	asked, clockErr := f.Clock()
 	begunAt := time.Now()
 	for {
 		pageCtx, cancel := context.WithTimeout(ctx, pageTimeout)
@@ -222,6 +267,9 @@
 	}
 	f.mirror.MergeListing(records, revision)
 	f.MarkCurrent(time.Since(begunAt))
+	if clockErr == nil {
+		f.OnProof(asked)
+	}
 	return nil
 }
 
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -16,6 +16,7 @@
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/memory"
+	"lentilward.org/lentilward/proof"
 	"lentilward.org/lentilward/scatter"
 )
 
@@ -43,17 +44,20 @@
 	// Records returns the records changed after a revision, and the suspect
 	// requests.
 	Records func(since uint64) RecordsReply
+	// Proof answers a peer that asks for this instance's proof.
+	Proof func(ctx context.Context, q proof.Question) (proof.Answer, error)
 	// Gather runs part of a search for a peer, and passes each partial result to
 	// emit.
 	Gather func(ctx context.Context, g scatter.Gather, emit func(scatter.Partial))
 }
 
 // NewServer returns a server. Its function fields must be set before it serves;
-// Records and Gather have defaults that return nothing.
+// Records, Proof and Gather have defaults that return nothing.
 func NewServer(board *blackboard.Board, permits *Permits, traffic *Traffic, log *slog.Logger) *Server {
 	return &Server{
 		board: board, permits: permits, traffic: traffic, log: log,
 		Records: func(uint64) RecordsReply { return RecordsReply{} },
+		Proof:   noProof,
 		Gather:  func(context.Context, scatter.Gather, func(scatter.Partial)) {},
 	}
 }
@@ -162,6 +166,8 @@
 		return handleBody(f, func(b configBody) (any, error) { return s.board.Config.Load().DeltaFrom(b.Since), nil })
 	case kindRecords:
 		return handleBody(f, func(b recordsBody) (any, error) { return s.Records(b.Since), nil })
+	case kindProof:
+		return handleBody(f, func(b proof.Question) (any, error) { return s.Proof(ctx, b) })
 	case kindPermit:
 		return handleBody(f, func(b permitBody) (any, error) { return s.permits.grant(ctx, b) })
 	case kindRelease:
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -39,6 +39,9 @@
 	DecodeRequest func(*http.Request) *domain.Request
 	EncodeAnswer  func(http.Header, *domain.Answer) (status int, body []byte)
 	EncodeRefusal func(http.Header, *domain.Refusal) (status int, body []byte)
+	// SetTenant replaces what the caller says of its identity by the name of a tenant;
+	// an empty name states none.
+	SetTenant func(r *domain.Request, name string)
 }
 
 // Server handles the requests of callers over HTTP.
@@ -58,6 +61,9 @@
 	// IsConfigurationCurrent reports whether the latest snapshot is known to have the
 	// newest configuration.
 	IsConfigurationCurrent func() bool
+	// AdmitsKeys reports, as a request arrives, whether the keys of the snapshot that is then
+	// in force can be trusted: none was withdrawn too long before.
+	AdmitsKeys func() bool
 	// ConfigurationAge returns how long ago the configuration in force was last
 	// confirmed to be the newest.
 	ConfigurationAge func() time.Duration
@@ -70,10 +76,11 @@
 	OnRequestEnd func(RequestResult)
 }
 
-// RequestResult describes how a request ended: its route, duration and cost, and
-// the refusal, or nil if it was answered.
+// RequestResult describes how a request ended: its route, the name of its tenant, its
+// duration and cost, and the refusal, or nil if it was answered.
 type RequestResult struct {
 	Route    string
+	Tenant   string
 	Duration time.Duration
 	Stats    scatter.Stats
 	Refusal  *domain.Refusal
@@ -86,7 +93,8 @@
 		bodiesContext: bodiesContext, endBodies: endBodies,
 		format: format, directory: d, engine: e, log: log,
 		IsConfigurationCurrent: func() bool { return true }, ConfigurationAge: func() time.Duration { return 0 }, OnRequestEnd: func(RequestResult) {},
-		IsPoison: func(*domain.Request) bool { return false }, RecordServersLost: func(*domain.Request, int) {},
+		AdmitsKeys: func() bool { return true },
+		IsPoison:   func(*domain.Request) bool { return false }, RecordServersLost: func(*domain.Request, int) {},
 	}
 }
 
@@ -144,12 +152,14 @@
 	defer requestHold(r).Empty()
 	replies := s.engine.NewHold()
 	defer replies.Release()
+	// The proof is read before the snapshot that it is about.
+	proven := s.AdmitsKeys()
 	request := s.format.DecodeRequest(r)
 	snapshot := s.directory.Current.Load()
 	var answer *domain.Answer
 	result := RequestResult{Refusal: &domain.Refusal{Reason: domain.Stopping, Message: "instance has stopped"}}
 	if !stopped {
-		answer, result = s.handle(w, r, request, snapshot, replies, started)
+		answer, result = s.handle(w, r, request, snapshot, replies, arrival{started, proven})
 	}
 	if result.Refusal != nil && result.Refusal.Reason == domain.Abandoned {
 		s.recordResult(request, result, 0)
@@ -191,6 +201,7 @@
 		"hedges", result.Stats.Hedges, "repeats", result.Stats.Retries, "waited", result.Stats.Queued, "delegated", result.Stats.Delegated,
 		"missing", result.Stats.Missing,
 	}
+	attributes = append(attributes, keyAttributes(request, result)...)
 	if len(result.Stats.MissingServices) > 0 {
 		attributes = append(attributes, "without", result.Stats.MissingServices)
 	}
@@ -204,29 +215,43 @@
 	s.log.Log(context.Background(), level, "request", attributes...)
 }
 
+// arrival is when a request arrived, and whether AdmitsKeys was true then. The request was
+// sent earlier, so this holds for all that it starts later.
+type arrival struct {
+	at     time.Time
+	proven bool
+}
+
 // handle validates a request, refuses it if it is a poison request, and runs it.
-func (s *Server) handle(w http.ResponseWriter, r *http.Request, request *domain.Request, snapshot *directory.Snapshot, replies *memory.Hold, started time.Time) (*domain.Answer, RequestResult) {
-	task, refusal := s.admit(w, r, request, snapshot, started)
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, request *domain.Request, snapshot *directory.Snapshot, replies *memory.Hold, arrived arrival) (*domain.Answer, RequestResult) {
+	task, refusal := s.admit(w, r, request, snapshot, arrived)
 	if refusal != nil {
-		return nil, RequestResult{Duration: time.Since(started), Refusal: refusal}
+		return nil, RequestResult{Duration: time.Since(arrived.at), Refusal: refusal}
+	}
+	result := RequestResult{Route: task.Route.Name}
+	if task.Tenant != nil {
+		result.Tenant = task.Tenant.Name
 	}
 	if s.IsPoison(request) {
-		return nil, RequestResult{Route: task.Route.Name, Duration: time.Since(started), Refusal: &domain.Refusal{
+		result.Duration, result.Refusal = time.Since(arrived.at), &domain.Refusal{
 			Reason: domain.Poison, Outcome: domain.Unknown,
 			Message: "connections to backend servers were lost during earlier runs of this request",
-		}}
+		}
+		return nil, result
 	}
 	task.Hold = replies
 	answer, stats, refusal := s.engine.Run(r.Context(), *task)
 	if refusal != nil && stats.ConnectionsLost > 0 {
 		s.RecordServersLost(request, stats.ConnectionsLost)
 	}
-	return answer, RequestResult{Route: task.Route.Name, Duration: time.Since(started), Stats: stats, Refusal: refusal}
+	result.Duration, result.Stats, result.Refusal = time.Since(arrived.at), stats, refusal
+	return answer, result
 }
 
-// admit validates a request, reads its body and selects its route and services.
+// admit validates a request, reads its body and selects its route and services. The key is
+// checked on arrival and again when the body has come.
 // The task refers to one snapshot of the configuration until the request ends.
-func (s *Server) admit(w http.ResponseWriter, r *http.Request, request *domain.Request, snapshot *directory.Snapshot, started time.Time) (*scatter.Task, *domain.Refusal) {
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, request *domain.Request, snapshot *directory.Snapshot, arrived arrival) (*scatter.Task, *domain.Refusal) {
 	if request.ID == "" {
 		return nil, &domain.Refusal{Reason: domain.Malformed, Message: "request has no ID"}
 	}
@@ -235,14 +260,19 @@
 			Reason: domain.NoConfiguration, RetryAfter: noConfigurationRetryDelay, Message: "instance has no configuration yet",
 		}
 	}
+	if refusal := s.checkArrival(w, r, request, snapshot, arrived.proven); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := s.readBody(w, r, request, snapshot); refusal != nil {
 		return nil, refusal
 	}
-	snapshot, route, refusal := s.selectRoute(request)
+	selected, refusal := s.selectRoute(request, arrived.proven)
 	if refusal != nil {
 		return nil, refusal
 	}
-	task := &scatter.Task{Request: request, Route: route, State: snapshot.Routes[route.Name], Begin: started}
+	s.identify(request, selected)
+	snapshot, route := selected.snapshot, selected.route
+	task := &scatter.Task{Request: request, Route: route, Tenant: selected.tenant, State: snapshot.Routes[route.Name], Begin: arrived.at}
 	if len(route.Shards) > 0 {
 		task.Admission = snapshot.Admissions[route.Name]
 		task.Services = make([]*balance.Service, 0, len(route.Shards))
@@ -261,28 +291,6 @@
 	return task, nil
 }
 
-// selectRoute matches a request against the latest snapshot. It reports that there is
-// no route only if that snapshot is known to be current.
-func (s *Server) selectRoute(request *domain.Request) (*directory.Snapshot, *domain.Route, *domain.Refusal) {
-	for {
-		snapshot := s.directory.Current.Load()
-		if route := matchRoute(snapshot.Configuration, request); route != nil {
-			return snapshot, route, nil
-		}
-		if !s.IsConfigurationCurrent() {
-			return nil, nil, &domain.Refusal{
-				Reason: domain.NoConfiguration, RetryAfter: noConfigurationRetryDelay,
-				Message: "no matching route, but the configuration may be out of date",
-			}
-		}
-		if s.directory.Current.Load() == snapshot {
-			return nil, nil, &domain.Refusal{
-				Reason: domain.NoRoute, Message: fmt.Sprintf("no route for host %q and path %q", request.Host, request.Path()),
-			}
-		}
-	}
-}
-
 // matchRoute returns the route of a request, or nil. The host of a request may
 // include a port.
 func matchRoute(c *domain.Configuration, request *domain.Request) *domain.Route {
--- a/lentilward/web/server_test.go
+++ b/lentilward/web/server_test.go
@@ -48,7 +48,7 @@
 		Services: map[string]*balance.Service{"a": service}, Routes: map[string]*balance.Route{"r": {}},
 	})
 	engine := scatter.New(conn.Codec{AppendCall: platform.AppendCall, ReadReply: platform.ReadReply, Memory: replies})
-	s := New(Format{platform.DecodeRequest, platform.EncodeAnswer, platform.EncodeRefusal}, d, engine, log)
+	s := New(Format{platform.DecodeRequest, platform.EncodeAnswer, platform.EncodeRefusal, platform.SetTenant}, d, engine, log)
 	s.Memory = requests
 	frontend := httptest.NewUnstartedServer(s)
 	frontend.Config, frontend.Listener = s.HTTP(), s.Limit(frontend.Listener)
