--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -91,7 +91,10 @@
 	p.write(t, platform.ConfigurationKey, fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s1","maxConnections":30}]}`, version, routes))
 }
 
-// startInstance starts an instance on the machine 10.0.0.<number>.
+// instanceHost returns the machine of an instance: 10.0.0.<number> for the first ones.
+func instanceHost(number int) string { return fmt.Sprintf("10.0.%d.%d", number/250, number%250) }
+
+// startInstance starts an instance on its machine.
 func (p *memoryPlatform) startInstance(t *testing.T, number int, seeds ...netip.AddrPort) *Gateway {
 	g, _, _ := p.startStoppableInstance(t, number, seeds...)
 	return g
@@ -100,7 +103,7 @@
 // startStoppableInstance starts an instance as startInstance does. stop stops it as
 // SIGTERM does; stopped is closed once it has ended.
 func (p *memoryPlatform) startStoppableInstance(t *testing.T, number int, seeds ...netip.AddrPort) (_ *Gateway, stop func(), stopped chan struct{}) {
-	host := fmt.Sprintf("10.0.0.%d", number)
+	host := instanceHost(number)
 	dial := p.network.dialFrom(host)
 	o := &Options{Name: fmt.Sprintf("n%d", number), DataCentre: "z1", Peers: seeds}
 	for port, address := range []*netip.AddrPort{&o.Listen.HTTP, &o.Listen.Readiness, &o.Listen.Peers, &o.Listen.Monitor} {
--- a/lentilward/revocation_test.go
+++ b/lentilward/revocation_test.go
@@ -36,7 +36,7 @@
 	*memoryPlatform
 	// suspended has, by the number of the instance, for how long its machine was suspended
 	// in nanoseconds: its boot clock is ahead of the bubble's by that.
-	suspended [400]atomic.Int64
+	suspended [301]atomic.Int64
 	version   int
 }
 
@@ -52,19 +52,24 @@
 		g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
 			pool := conn.NewPool(b.Address)
 			pool.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-				return servers.dialFrom(fmt.Sprintf("10.0.0.%d", number))(ctx, "tcp", address.String())
+				return servers.dialFrom(instanceHost(number))(ctx, "tcp", address.String())
 			}
 			return balance.NewServer(b, pool, false)
 		}
 		// The clocks of machines that were booted at different times differ.
 		booted := time.Duration(number) * time.Hour
 		g.fence.Clock = func() (proof.Time, error) {
-			return proof.Time(booted + time.Since(begun) + time.Duration(p.suspended[number].Load())), nil
+			return proof.Time(booted + time.Since(begun) + p.suspendedFor(number)), nil
 		}
 	}
 	return p
 }
 
+// suspendedFor returns for how long the machine of an instance was suspended so far.
+func (p *keyPlatform) suspendedFor(number int) time.Duration {
+	return time.Duration(p.suspended[number].Load())
+}
+
 // publishKeys writes the next version of the configuration, with one tenant for each key.
 func (p *keyPlatform) publishKeys(t *testing.T, keys ...string) {
 	t.Helper()
@@ -124,6 +129,11 @@
 	},
 	"store slow":           {inject: func(p *keyPlatform, _ string, _ int) { p.store.SlowDown(118*time.Millisecond, 30*time.Second) }, spares: true},
 	"watches hear nothing": {inject: func(p *keyPlatform, _ string, _ int) { p.store.Compact(time.Second) }, spares: true},
+	// The instance is cut off just before its watch would hear of the withdrawal again.
+	"cut off while watches hear nothing": {inject: func(p *keyPlatform, host string, _ int) {
+		p.store.Compact(time.Second)
+		time.AfterFunc(980*time.Millisecond, func() { p.network.isolate(host) })
+	}, heal: func(p *keyPlatform, host string) { p.network.rejoin(host) }},
 	// The machine is suspended at once and resumes at once, as seen by the runtime's clock.
 	"suspended": {inject: func(p *keyPlatform, host string, number int) {
 		p.network.isolate(host)
@@ -163,7 +173,7 @@
 			}
 		}
 	}
-	host := fmt.Sprintf("10.0.0.%d", number)
+	host := instanceHost(number)
 	time.Sleep(delay)
 	if f.inject != nil {
 		f.inject(p, host, number)
@@ -174,8 +184,9 @@
 	for time.Since(goneAt) < 12*time.Second {
 		time.Sleep(100 * time.Millisecond)
 		for i, g := range fleet {
-			if got := callWithKeys(g, "/a/", "k-goes"); time.Since(goneAt) > revokeBound && got.Code == http.StatusOK {
-				t.Fatalf("instance %d: runs a request with a key that was withdrawn %v ago, proof age %v", i+1, time.Since(goneAt), g.fence.Age())
+			gone := time.Since(goneAt) + p.suspendedFor(i+1)
+			if got := callWithKeys(g, "/a/", "k-goes"); gone > revokeBound && got.Code == http.StatusOK {
+				t.Fatalf("instance %d: runs a request with a key that was withdrawn %v ago, proof age %v", i+1, gone, g.fence.Age())
 			}
 			stays := callWithKeys(g, "/a/", "k-stays")
 			if stays.Code != http.StatusOK && (stays.Code != http.StatusServiceUnavailable || stays.Header().Get("Retry-After") == "") {
@@ -232,7 +243,7 @@
 				fleet := p.startKeyFleet(t, replicaInstances)
 				time.Sleep(time.Duration(step) * 90 * time.Millisecond)
 				for number := 1; number <= len(fleet); number++ {
-					p.network.isolate(fmt.Sprintf("10.0.0.%d", number))
+					p.network.isolate(instanceHost(number))
 				}
 				for range keyServingPeriod / (100 * time.Millisecond) {
 					for i, g := range fleet {
@@ -251,7 +262,7 @@
 					}
 				}
 				for number := 1; number <= len(fleet); number++ {
-					p.network.rejoin(fmt.Sprintf("10.0.0.%d", number))
+					p.network.rejoin(instanceHost(number))
 				}
 				time.Sleep(recoveryPeriod)
 				for i, g := range fleet {
@@ -300,7 +311,7 @@
 		p.publishKeys(t, "k-goes")
 		fleet := p.startKeyFleet(t, replicaInstances)
 		for number := 1; number <= len(fleet); number++ {
-			p.store.RefuseCaller(fmt.Sprintf("10.0.0.%d", number), time.Minute)
+			p.store.RefuseCaller(instanceHost(number), time.Minute)
 		}
 		// Watches that the store has accepted still return.
 		time.Sleep(1500 * time.Millisecond)
@@ -385,7 +396,7 @@
 			var others []*Gateway
 			for i, g := range fleet {
 				if g.readsStore() {
-					p.network.isolate(fmt.Sprintf("10.0.0.%d", i+1))
+					p.network.isolate(instanceHost(i + 1))
 				} else {
 					others = append(others, g)
 				}
@@ -402,35 +413,64 @@
 	}
 }
 
-// Guards against a key that reaches a server, a peer or the log on any path, and against a
-// tenant that the caller states itself.
+// Guards against a key that reaches a server in the first call, a retry or a hedge, and
+// against a tenant that the caller states itself.
 func TestRevocationKeepsKeysFromServers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newKeyPlatform(t)
-		var mu sync.Mutex
-		var seen []http.Header
-		respond := p.respond
-		p.respond = func(w http.ResponseWriter, r *http.Request) {
-			mu.Lock()
-			seen = append(seen, r.Header.Clone())
-			mu.Unlock()
-			respond(w, r)
-		}
-		p.publishKeys(t, "k1")
-		g := p.startKeyFleet(t, 2)[0]
-		for path, want := range map[string]string{"/a/": "tenant-of-k1", "/search/": "tenant-of-k1", "/public/": ""} {
-			seen = nil
-			r := httptest.NewRequest(http.MethodGet, path, nil)
-			r.Host = "h"
-			r.Header.Set("Request-Id", "q1")
-			r.Header.Set("X-Api-Key", "k1")
-			r.Header["Tenant"] = []string{"somebody", "else"}
-			g.callers.ServeHTTP(httptest.NewRecorder(), r)
-			mu.Lock()
-			if len(seen) == 0 || seen[0].Get("Tenant") != want || len(seen[0]["Tenant"]) > 1 || seen[0]["X-Api-Key"] != nil {
-				t.Errorf("%s: headers %v", path, seen)
-			}
-			mu.Unlock()
-		}
-	})
+	for name, first := range map[string]http.HandlerFunc{
+		"served":  nil,
+		"retried": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"hedged":  func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newKeyPlatform(t)
+				configure := p.configure
+				p.configure = func(o *Options) {
+					configure(o)
+					o.Search.Hedge = true
+					o.RetryBudget.Ratio, o.RetryBudget.Window = 1, duration(time.Second)
+				}
+				var mu sync.Mutex
+				var seen []http.Header
+				respond := p.respond
+				p.respond = func(w http.ResponseWriter, r *http.Request) {
+					mu.Lock()
+					seen = append(seen, r.Header.Clone())
+					isFirst := len(seen) == 1
+					mu.Unlock()
+					if isFirst && first != nil {
+						first(w, r)
+						return
+					}
+					respond(w, r)
+				}
+				p.publishKeys(t, "k1")
+				g := p.startKeyFleet(t, 2)[0]
+				p.addServers(t, 2)
+				calls := 0
+				for path, want := range map[string]string{"/a/": "tenant-of-k1", "/search/": "tenant-of-k1", "/public/": ""} {
+					mu.Lock()
+					seen = nil
+					mu.Unlock()
+					r := httptest.NewRequest(http.MethodGet, path, nil)
+					r.Host = "h"
+					r.Header.Set("Request-Id", "q1")
+					r.Header.Set("X-Api-Key", "k1")
+					r.Header["Tenant"] = []string{"somebody", "else"}
+					g.callers.ServeHTTP(httptest.NewRecorder(), r)
+					mu.Lock()
+					calls += len(seen)
+					for _, h := range seen {
+						if h.Get("Tenant") != want || len(h["Tenant"]) > 1 || h["X-Api-Key"] != nil {
+							t.Errorf("%s: headers %v", path, h)
+						}
+					}
+					mu.Unlock()
+				}
+				if calls < 3 || first != nil && calls == 3 {
+					t.Errorf("%d calls; the test shows nothing", calls)
+				}
+			})
+		})
+	}
 }
--- a/lentilward/web/key_test.go
+++ b/lentilward/web/key_test.go
@@ -87,6 +87,13 @@
 	seen := &headersSeen{}
 	s, frontend := newTestServer(t, seen.serve)
 	withTenants(s, map[string]*domain.Tenant{"k1": {Name: "one"}, "k2": {Name: "two"}})
+	// What is admitted is what is sent to servers and gatherers, in all attempts.
+	s.IsPoison = func(r *domain.Request) bool {
+		if r.Keys != nil || r.Header["X-Api-Key"] != nil {
+			t.Errorf("admitted with keys %x and headers %v", r.Keys, r.Header)
+		}
+		return false
+	}
 	own := http.Header{"Tenant": {"one", "two"}}
 	hidden := http.Header{"Connection": {"X-Api-Key, Tenant"}, "Tenant": {"two"}}
 	for _, c := range []struct {
