--- a/lentilsoak/caller.go
+++ b/lentilsoak/caller.go
@@ -52,6 +52,9 @@
 	r.Host = "soak"
 	r.Header.Set(standin.RequestIDHeader, id)
 	r.Header.Set(standin.DeadlineHeader, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	if s.withKeys {
+		s.setKey(r, id)
+	}
 	return r
 }
 
--- a/lentilsoak/faults.go
+++ b/lentilsoak/faults.go
@@ -35,6 +35,7 @@
 	case 5:
 		s.injectStoreFault(duration, func() { s.store.SlowDown(300*time.Millisecond, duration) })
 	case 6:
+		s.lateWritesUntil.Store(time.Now().Add(duration + 2*revokeWithin).UnixNano())
 		s.injectStoreFault(duration, func() { s.store.LoseReplies(0.5, duration, s.rand.IntN(2) == 0) })
 	case 7:
 		s.injectStoreFault(duration, func() { s.store.Compact(time.Second) })
--- a/lentilsoak/instance.go
+++ b/lentilsoak/instance.go
@@ -76,11 +76,11 @@
 	return i, err
 }
 
-// writeSettings writes the instance's settings file and returns its path.
-func (i *instance) writeSettings(folder string, peers string) (string, error) {
+// writeSettings writes the instance's settings file, with extra at its end, and returns its path.
+func (i *instance) writeSettings(folder, peers, extra string) (string, error) {
 	path := filepath.Join(folder, i.name+".toml")
 	text := fmt.Sprintf("name = %q\ndata-centre = %q\npeers = [%s]\nmemory-mib = %d\n[listen]\nhttp = %q\nreadiness = %q\npeers = %q\nmonitor = %q\n[store]\naddress = %q\n[stop]\ngrace = %q\n",
-		i.name, i.dataCentre, peers, instanceMemory, i.httpAddress, i.readinessAddress, i.peerAddress, i.monitorAddress, i.storeProxy.address, gracePeriod.String())
+		i.name, i.dataCentre, peers, instanceMemory, i.httpAddress, i.readinessAddress, i.peerAddress, i.monitorAddress, i.storeProxy.address, gracePeriod.String()) + extra
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
 
--- a/lentilsoak/ledger.go
+++ b/lentilsoak/ledger.go
@@ -15,6 +15,7 @@
 	answered, refused, failed atomic.Int64
 	// peakMemory is the largest resident memory of an instance in MiB.
 	peakMemory atomic.Int64
+	lateKeys   sync.Map
 
 	mu             sync.Mutex
 	runCounts      map[string]int
--- a/lentilsoak/main.go
+++ b/lentilsoak/main.go
@@ -18,12 +18,14 @@
 	program := app.Flag("program", "Path of the lentilward binary.").Default("bin/lentilward").ExistingFile()
 	folder := app.Flag("folder", "Folder for settings and logs.").Required().ExistingDir()
 	endlessServers := app.Flag("endless", "Let one of the two servers of each service send bytes without end, under many callers.").Bool()
+	keys := app.Flag("keys", "Let callers need keys, which are withdrawn one after another.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	s, err := newSoak(*seed, *program, *folder, *endlessServers)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentilsoak:", err)
 		os.Exit(1)
 	}
+	s.withKeys = *keys
 	s.run(time.Now().Add(*duration))
 	findings := s.ledger.finalFindings()
 	for _, f := range findings {
--- a/lentilsoak/server.go
+++ b/lentilsoak/server.go
@@ -76,6 +76,9 @@
 	if s.drainingSince.Load() != 0 {
 		w.Header().Set(standin.ServerLeavingHeader, "1")
 	}
+	if gone, late := s.ledger.lateKeys.Load(id); late {
+		s.ledger.addFinding("server %s received request %s, whose key was withdrawn %v before it was sent", s.id, id, gone)
+	}
 	mode := s.mode.Load()
 	if mode == shedding && rand.IntN(2) == 0 {
 		w.Header().Set(standin.NotExecutedHeader, "1")
--- a/lentilsoak/soak.go
+++ b/lentilsoak/soak.go
@@ -55,6 +55,12 @@
 	settingsPaths map[*instance]string
 	faultCount    int
 	configVersion int
+	// withKeys is set if callers need keys: each version of the configuration withdraws
+	// that of the one before at the time in withdrawnAt. Until lateWritesUntil, in
+	// nanoseconds since 1970, late writes may bring old versions back.
+	withKeys                   bool
+	keyNumber, lateWritesUntil atomic.Int64
+	withdrawnAt                sync.Map
 	// storeFaultUntil is the time until which checks that depend on the store are
 	// suspended, in nanoseconds since 1970.
 	storeFaultUntil atomic.Int64
@@ -131,7 +137,7 @@
 		peerAddresses = append(peerAddresses, fmt.Sprintf("%q", i.peerAddress))
 	}
 	for _, i := range s.instances {
-		path, err := i.writeSettings(s.folder, strings.Join(peerAddresses, ", "))
+		path, err := i.writeSettings(s.folder, strings.Join(peerAddresses, ", "), s.keySettings())
 		if err != nil {
 			s.ledger.addFinding("write settings: %v", err)
 			return
@@ -158,6 +164,9 @@
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(s.rand.Int64N(int64(2 * meanFaultInterval))))
 		s.injectFault()
+		if s.withKeys {
+			s.publishConfiguration()
+		}
 	}
 	wg.Wait()
 	s.restarts.Wait()
@@ -191,10 +200,14 @@
 		ShardServices: shardSets[s.configVersion%len(shardSets)], MaxRecords: maxRecords, MinCoverage: minCoverage,
 		Timeout: requestTimeout, TargetLatency: targetLatency,
 	}
+	if key := s.keyNumber.Add(1); s.withKeys {
+		c.Keys = []string{fmt.Sprint("key-", key)}
+	}
 	for n := range 8 {
 		c.Services = append(c.Services, fmt.Sprint("s", n+1))
 	}
 	s.putWithRetries(standin.ConfigurationKey, c.Record())
+	s.withdrawnAt.Store(s.keyNumber.Load()-1, time.Now())
 }
 
 func (s *soak) registerServer(target *server, draining bool) {
--- a/lentilstand/platform/wire.go
+++ b/lentilstand/platform/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 )
 
@@ -9,6 +10,7 @@
 // backend server ran the request.
 const (
 	RequestIDHeader        = "Request-Id"
+	KeyHeader              = "X-Api-Key"
 	DeadlineHeader         = "Deadline-Milliseconds"
 	ExpectedInstanceHeader = "Expected-Instance"
 	ServerProofHeader      = "Server-Stamp"
@@ -56,6 +58,8 @@
 	ShardServices              []string
 	SingleService              string
 	Services                   []string
+	// Keys has the keys of tenants, one each. Without keys there are no tenants.
+	Keys                       []string
 	MaxRecords                 int
 	MinCoverage                float64
 	Timeout, TargetLatency     time.Duration
@@ -76,7 +80,15 @@
 	for _, name := range c.Services {
 		services = append(services, map[string]any{"name": name, "maxConnections": 30})
 	}
-	return mustEncode(map[string]any{"version": c.Version, "routes": []any{search, single}, "services": services})
+	record := map[string]any{"version": c.Version, "routes": []any{search, single}, "services": services}
+	var tenants []any
+	for n, key := range c.Keys {
+		tenants = append(tenants, map[string]any{"name": fmt.Sprint("tenant-", n+1), "apiKeys": []string{key}})
+	}
+	if len(tenants) > 0 {
+		record["tenants"] = tenants
+	}
+	return mustEncode(record)
 }
 
 func mustEncode(record any) []byte {
