Prove the newest records by reads of the store's revision

A watch that is begun while the watches of the store hear nothing does not report changes that are older than that second either. Watches of 0.8 s are shorter than that second, so none of them proves anything alone. A watch without changes proves something only if it has surely listened for longer than the gap.

One test changes: after the start of an outage it waits for watches that the store had accepted, whose answers are proofs.

--- a/lentilward/gateway_store.go
+++ b/lentilward/gateway_store.go
@@ -12,6 +12,9 @@
 	"lentilward.org/platform"
 )
 
+// emptyPrefix precedes no key of the store: a read of it has only the store's revision.
+const emptyPrefix = "lentilward/none/"
+
 // connectStore connects the components that read and write the store.
 func (g *Gateway) connectStore(store *platform.Store) {
 	g.follower.List = func(ctx context.Context, after string) (*mirror.Page, error) {
@@ -25,6 +28,13 @@
 		}
 		return toMirrorPage(page, err)
 	}
+	g.follower.ReadRevision = func(ctx context.Context) (uint64, error) {
+		page, err := store.Range(ctx, emptyPrefix, "")
+		if err != nil {
+			return 0, err
+		}
+		return page.Revision, nil
+	}
 	g.follower.MaxWatchWait = watchWait(time.Duration(g.options.Load().Apply))
 	g.follower.ReadsStore = g.readsStore
 	o := g.options.Load()
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -19,8 +19,6 @@
 	// waitJitterDivisor sets the jitter of watches: a wait is shortened by up to
 	// Follower.MaxWatchWait/waitJitterDivisor.
 	waitJitterDivisor = 3
-	// proofJitterDivisor is the same where proofs are needed: shorter watches are more calls.
-	proofJitterDivisor = 8
 	// pageTimeout bounds the call that lists one page.
 	pageTimeout = 2 * time.Second
 	// minBackoff and maxBackoff bound the backoff after a failed call. The pause
@@ -80,9 +78,8 @@
 	// ReadsStore reports whether this instance is to read the store; the others get
 	// the records from peers.
 	ReadsStore func() bool
-	// MaxProofWait returns the longest wait of a watch with which its answers are proofs that
-	// are new enough; 0 if none are needed.
-	MaxProofWait func() time.Duration
+	// ReadRevision returns the present revision of the store.
+	ReadRevision func(ctx context.Context) (uint64, error)
 	// Clock reads the boot clock. OnProof is called after each answer of the store with the
 	// latest moment at which the store is known to have had no newer records than the mirror.
 	Clock   func() (proof.Time, error)
@@ -94,7 +91,7 @@
 func NewFollower(m *Mirror, log *slog.Logger) *Follower {
 	return &Follower{
 		mirror: m, log: log, confirmRequested: make(chan struct{}, 1), ReadsStore: func() bool { return true },
-		MaxProofWait: func() time.Duration { return 0 }, Clock: proof.BootTime, OnProof: func(proof.Time) {},
+		Clock: proof.BootTime, OnProof: func(proof.Time) {},
 	}
 }
 
@@ -158,7 +155,8 @@
 	if f.mirror.Revision() == 0 {
 		return f.listAll(ctx)
 	}
-	wait := f.watchWait()
+	// Jitter keeps the watches of several instances from ending together.
+	wait := f.MaxWatchWait - rand.N(f.MaxWatchWait/waitJitterDivisor+1)
 	select {
 	case <-f.confirmRequested:
 		wait = confirmWait
@@ -175,15 +173,6 @@
 	return err
 }
 
-// watchWait returns the wait of the next watch. Jitter keeps the watches of several
-// instances from ending together.
-func (f *Follower) watchWait() time.Duration {
-	if wait := f.MaxProofWait(); wait > 0 && wait < f.MaxWatchWait {
-		return wait - rand.N(wait/proofJitterDivisor+1)
-	}
-	return f.MaxWatchWait - rand.N(f.MaxWatchWait/waitJitterDivisor+1)
-}
-
 // watch waits for changes and applies them. A request by Confirm interrupts it with
 // errConfirm, unless its wait is confirmWait.
 func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
@@ -223,24 +212,6 @@
 	return nil
 }
 
-// proveByWatch reports what a watch proves that has returned. Changes prove the moment at
-// which it was asked. None prove at most the end of its wait, less the time for which the
-// watches of the store may hear nothing: the reply may have been read much later.
-func (f *Follower) proveByWatch(asked proof.Time, wait time.Duration, changed bool) {
-	at := asked
-	if !changed {
-		now, err := f.Clock()
-		if err != nil {
-			return
-		}
-		if now.Sub(asked) >= wait {
-			at = at.Add(wait)
-		}
-		at = at.Add(-proof.WatchGap)
-	}
-	f.OnProof(at)
-}
-
 // listAll reads all records. The pages do not form a snapshot, so the mirror gets
 // the revision of the first page, and the next watch returns the changes since.
 func (f *Follower) listAll(ctx context.Context) error {
--- a/lentilward/revocation_test.go
+++ b/lentilward/revocation_test.go
@@ -113,6 +113,8 @@
 type fault struct {
 	inject func(p *keyPlatform, host string, number int)
 	heal   func(p *keyPlatform, host string)
+	// readDelay is for how long machines stand still before they read what has come.
+	readDelay time.Duration
 	// spares states that the instance still has a path to the store, through others.
 	spares bool
 }
@@ -128,6 +130,7 @@
 		heal:   func(p *keyPlatform, _ string) { p.network.rejoin(storeAddress.Addr().String()) },
 	},
 	"store slow":           {inject: func(p *keyPlatform, _ string, _ int) { p.store.SlowDown(118*time.Millisecond, 30*time.Second) }, spares: true},
+	"throttled":            {readDelay: 90 * time.Millisecond, spares: true},
 	"watches hear nothing": {inject: func(p *keyPlatform, _ string, _ int) { p.store.Compact(time.Second) }, spares: true},
 	// The instance is cut off just before its watch would hear of the withdrawal again.
 	"cut off while watches hear nothing": {inject: func(p *keyPlatform, host string, _ int) {
@@ -160,6 +163,7 @@
 
 func runRevocation(t *testing.T, f fault, reader bool, delay time.Duration) {
 	p := newKeyPlatform(t)
+	p.network.readDelay = f.readDelay
 	p.publishKeys(t, "k-stays", "k-goes")
 	fleet := p.startKeyFleet(t, replicaInstances)
 	number := 0
@@ -345,7 +349,8 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		p.store.StartOutage(time.Hour, false, false)
-		time.Sleep(revokeBound)
+		// Watches that the store has accepted still return, and are proofs.
+		time.Sleep(revokeBound + maxWatchWait)
 		restarted = p.startInstance(t, 21, fleet[0].options.Load().Listen.Peers)
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
@@ -474,3 +479,31 @@
 		})
 	}
 }
+
+// Guards against trust in keys because of a watch without changes that was begun, after the
+// instance's return, while the watches of the store heard nothing: it does not report older
+// changes either (found by TestRevocationHoldsUnderRandomFaults).
+func TestRevocationIgnoresWatchesThatHearNothing(t *testing.T) {
+	for step := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			p := newKeyPlatform(t)
+			p.publishKeys(t, "k-goes")
+			g := p.startKeyFleet(t, 1)[0]
+			period := 3*revokeBound + time.Duration(step)*110*time.Millisecond
+			p.store.RefuseCaller(instanceHost(1), period)
+			time.Sleep(revokeBound)
+			p.publishKeys(t, "k-other")
+			time.Sleep(period - revokeBound)
+			p.store.Compact(time.Second)
+			for range 400 {
+				time.Sleep(10 * time.Millisecond)
+				if got := callWithKeys(g, "/a/", "k-goes").Code; got == http.StatusOK {
+					t.Fatalf("status %d, proof age %v", got, g.fence.Age())
+				}
+			}
+			if got := callWithKeys(g, "/a/", "k-other").Code; got != http.StatusOK {
+				t.Errorf("status %d for a valid key, proof age %v", got, g.fence.Age())
+			}
+		})
+	}
+}
