--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -37,12 +37,17 @@
 	client  *platform.Store
 	// respond is the handler of the backend server.
 	respond http.HandlerFunc
-	// configure changes the settings of instances before they start; nil changes nothing.
+	// configure changes the settings of instances, and prepare their components, before
+	// they start.
 	configure func(*Options)
+	prepare   func(number int, g *Gateway)
 }
 
 func newMemoryPlatform(t *testing.T) *memoryPlatform {
-	p := &memoryPlatform{ctx: t.Context(), network: newMemoryNetwork(t), store: standin.New(1)}
+	p := &memoryPlatform{
+		ctx: t.Context(), network: newMemoryNetwork(t), store: standin.New(1),
+		configure: func(*Options) {}, prepare: func(int, *Gateway) {},
+	}
 	p.serve(t, storeAddress, p.store.Handler())
 	backendServer := netip.MustParseAddrPort("10.9.0.1:80")
 	p.respond = func(w http.ResponseWriter, r *http.Request) {
@@ -86,7 +91,10 @@
 	p.write(t, platform.ConfigurationKey, fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s1","maxConnections":30}]}`, version, routes))
 }
 
-// startInstance starts an instance on the machine 10.0.0.<number>.
+// instanceHost returns the machine of an instance: 10.0.0.<number> for the first ones.
+func instanceHost(number int) string { return fmt.Sprintf("10.0.%d.%d", number/250, number%250) }
+
+// startInstance starts an instance on its machine.
 func (p *memoryPlatform) startInstance(t *testing.T, number int, seeds ...netip.AddrPort) *Gateway {
 	g, _, _ := p.startStoppableInstance(t, number, seeds...)
 	return g
@@ -95,7 +103,7 @@
 // startStoppableInstance starts an instance as startInstance does. stop stops it as
 // SIGTERM does; stopped is closed once it has ended.
 func (p *memoryPlatform) startStoppableInstance(t *testing.T, number int, seeds ...netip.AddrPort) (_ *Gateway, stop func(), stopped chan struct{}) {
-	host := fmt.Sprintf("10.0.0.%d", number)
+	host := instanceHost(number)
 	dial := p.network.dialFrom(host)
 	o := &Options{Name: fmt.Sprintf("n%d", number), DataCentre: "z1", Peers: seeds}
 	for port, address := range []*netip.AddrPort{&o.Listen.HTTP, &o.Listen.Readiness, &o.Listen.Peers, &o.Listen.Monitor} {
@@ -103,9 +111,7 @@
 	}
 	o.Store.Address, o.Apply = storeAddress, duration(maxApplyDelay)
 	o.RetryBudget.Slack, o.RetryBudget.Window, o.Stop.Grace = 50, duration(10*time.Second), duration(stopGrace)
-	if p.configure != nil {
-		p.configure(o)
-	}
+	p.configure(o)
 	g := newGateway(o, newStoreClient(storeAddress, dial), slog.New(slog.DiscardHandler), &slog.LevelVar{})
 	g.listen, g.links.Dial = p.network.listen, dial
 	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
@@ -115,6 +121,7 @@
 		}
 		return balance.NewServer(b, pool, false)
 	}
+	p.prepare(number, g)
 	processCtx, cancel := context.WithCancel(p.ctx)
 	stopCtx, stop := context.WithCancel(processCtx)
 	stopped = make(chan struct{})
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"lentilward.org/lentilward/proof"
 )
 
 // WatchGracePeriod is how much longer than its wait a watch may take before it is
@@ -76,12 +78,21 @@
 	// ReadsStore reports whether this instance is to read the store; the others get
 	// the records from peers.
 	ReadsStore func() bool
+	// ReadRevision returns the present revision of the store.
+	ReadRevision func(ctx context.Context) (uint64, error)
+	// Clock reads the boot clock. OnProof is called after each answer of the store with the
+	// latest moment at which the store is known to have had no newer records than the mirror.
+	Clock   func() (proof.Time, error)
+	OnProof func(at proof.Time)
 }
 
 // NewFollower returns a follower. List, Watch and MaxWatchWait must be set
 // before Run is called; ReadsStore returns true by default.
 func NewFollower(m *Mirror, log *slog.Logger) *Follower {
-	return &Follower{mirror: m, log: log, confirmRequested: make(chan struct{}, 1), ReadsStore: func() bool { return true }}
+	return &Follower{
+		mirror: m, log: log, confirmRequested: make(chan struct{}, 1), ReadsStore: func() bool { return true },
+		Clock: proof.BootTime, OnProof: func(proof.Time) {},
+	}
 }
 
 // Run keeps the mirror up to date until the context ends.
@@ -178,6 +189,7 @@
 			}
 		}()
 	}
+	asked, clockErr := f.Clock()
 	begunAt := time.Now()
 	page, err := f.Watch(watchCtx, f.mirror.Revision(), wait)
 	if errors.Is(err, ErrCompacted) {
@@ -190,6 +202,9 @@
 	// The store replied no later than at the end of the wait, even if the reply was
 	// on its way for longer.
 	f.MarkCurrent(max(0, time.Since(begunAt)-wait))
+	if clockErr == nil {
+		f.proveByWatch(asked, wait, len(page.Records) > 0)
+	}
 	if len(page.Records) > 0 {
 		// Changes come in bursts, and every call to the store is billed.
 		f.awaitConfirmRequest(ctx, batchDelay)
@@ -203,6 +218,7 @@
 	var records []Record
 	var revision uint64
 	after := ""
+	asked, clockErr := f.Clock()
 	begunAt := time.Now()
 	for {
 		pageCtx, cancel := context.WithTimeout(ctx, pageTimeout)
@@ -222,6 +238,9 @@
 	}
 	f.mirror.MergeListing(records, revision)
 	f.MarkCurrent(time.Since(begunAt))
+	if clockErr == nil {
+		f.OnProof(asked)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/lentilward/mirror/proof_test.go
@@ -0,0 +1,150 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lentilward.org/lentilward/proof"
+)
+
+// newProvingFollower returns a follower whose boot clock is the bubble's, and what its last
+// answer proved.
+func newProvingFollower(s *fakeStore) (f *Follower, proven *proof.Time) {
+	f, proven = newTestFollower(s), new(proof.Time)
+	begun := time.Now()
+	f.Clock = func() (proof.Time, error) { return proof.Time(time.Since(begun)), nil }
+	f.OnProof = func(at proof.Time) { *proven = at }
+	f.ReadRevision = func(context.Context) (uint64, error) { return s.currentRevision(), nil }
+	return f, proven
+}
+
+// Guards against an answer that proves more than the moment of its question: a listing, a
+// watch with changes, one without that ends in time, early, or is read late because the
+// process was frozen. The watches may have heard nothing for a second.
+func TestAnswersProveTheMomentOfTheirQuestions(t *testing.T) {
+	const nothing, wait = -time.Hour, 2 * time.Second
+	for name, c := range map[string]struct {
+		changed     bool
+		wait, takes time.Duration
+		want        time.Duration
+	}{
+		"changes":                     {changed: true, wait: wait, takes: 500 * time.Millisecond},
+		"changes, read late":          {changed: true, wait: wait, takes: time.Minute},
+		"none":                        {wait: wait, takes: wait, want: wait - proof.WatchGap},
+		"none, read a little late":    {wait: wait, takes: wait + 800*time.Millisecond, want: wait - proof.WatchGap},
+		"none, the question was late": {wait: wait, takes: wait + time.Second, want: nothing},
+		"none, read late":             {wait: wait, takes: time.Minute, want: nothing},
+		"none, returned too early":    {wait: wait, takes: wait - time.Millisecond, want: nothing},
+		"none, as short as the gap":   {wait: proof.WatchGap, takes: proof.WatchGap, want: nothing},
+		"none, for a confirmation":    {wait: confirmWait, takes: confirmWait, want: nothing},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeStore{records: make(map[string]Record)}
+				s.write("a", false)
+				f, proven := newProvingFollower(s)
+				list := f.List
+				f.List = func(ctx context.Context, after string) (*Page, error) {
+					time.Sleep(time.Second)
+					return list(ctx, after)
+				}
+				time.Sleep(time.Hour)
+				asked, _ := f.Clock()
+				if err := f.sync(t.Context()); err != nil || *proven != asked {
+					t.Fatalf("a listing proved %v, want %v; %v", *proven, asked, err)
+				}
+				f.Watch = func(context.Context, uint64, time.Duration) (*Page, error) {
+					time.Sleep(c.takes)
+					if c.changed {
+						return &Page{Revision: 9, Records: []Record{{Key: "b", Revision: 9}}}, nil
+					}
+					return &Page{Revision: 1}, nil
+				}
+				asked, _ = f.Clock()
+				*proven = asked.Add(nothing)
+				if err := f.watch(t.Context(), c.wait); err != nil || proven.Sub(asked) != c.want {
+					t.Fatalf("proved %v after the question, want %v; %v", proven.Sub(asked), c.want, err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a failed call, a compacted history or a clock that can't be read that
+// prove something.
+func TestFailuresProveNothing(t *testing.T) {
+	s := &fakeStore{records: make(map[string]Record)}
+	s.write("a", false)
+	f, _ := newProvingFollower(s)
+	f.OnProof = func(at proof.Time) { t.Errorf("proved %v", at) }
+	for _, failure := range []error{errors.New("refused"), ErrCompacted} {
+		f.Watch = func(context.Context, uint64, time.Duration) (*Page, error) { return nil, failure }
+		if err := f.watch(t.Context(), time.Second); !errors.Is(err, failure) {
+			t.Error(err)
+		}
+	}
+	f.Clock = func() (proof.Time, error) { return 0, errors.New("no clock") }
+	f.Watch = func(context.Context, uint64, time.Duration) (*Page, error) { return &Page{Revision: 1}, nil }
+	if err := f.watch(t.Context(), time.Second); err != nil {
+		t.Error(err)
+	}
+	if err := f.listAll(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a proof by the store's revision that counts before the records up to it have
+// come, also while the watches hear nothing, and against one that proves a later moment than
+// that of the question.
+func TestRevisionProvesTheMomentOfItsQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{records: make(map[string]Record)}
+		s.write("a", false)
+		f, proven := newProvingFollower(s)
+		var deaf atomic.Bool
+		watch := f.Watch
+		f.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*Page, error) {
+			if deaf.Load() {
+				sleep(ctx, wait)
+				return &Page{Revision: after}, ctx.Err()
+			}
+			return watch(ctx, after, wait)
+		}
+		f.ReadRevision = func(context.Context) (uint64, error) {
+			revision := s.currentRevision()
+			time.Sleep(200 * time.Millisecond)
+			return revision, nil
+		}
+		f.MaxWatchWait = time.Second
+		runFollower(t, f)
+		time.Sleep(time.Minute)
+		asked, _ := f.Clock()
+		if err := f.Prove(t.Context()); err != nil || *proven != asked {
+			t.Fatalf("proved %v, want %v; %v", *proven, asked, err)
+		}
+		deaf.Store(true)
+		time.Sleep(2 * time.Second)
+		s.write("c", false)
+		before := *proven
+		if err := f.Prove(t.Context()); !errors.Is(err, errBehind) || *proven != before {
+			t.Fatalf("proved %v, although a change is missing; %v", *proven, err)
+		}
+		asked, _ = f.Clock()
+		time.AfterFunc(600*time.Millisecond, func() {
+			deaf.Store(false)
+			f.Confirm()
+		})
+		if err := f.Prove(t.Context()); err != nil || *proven < asked {
+			t.Fatalf("proved %v, want at least %v; %v", *proven, asked, err)
+		}
+		before = *proven
+		f.ReadRevision = func(context.Context) (uint64, error) { return 0, errors.New("refused") }
+		if err := f.Prove(t.Context()); err == nil || *proven != before {
+			t.Fatalf("proved %v without an answer", *proven)
+		}
+	})
+}
