Make the model of rollouts free of data races

Cause: go test -race found that tests changed the model's functions while calls read them. Change: the model's state is read and set under its lock.

--- a/lentilward/rollout_fault_test.go
+++ b/lentilward/rollout_fault_test.go
@@ -11,11 +11,12 @@
 // controller returns the instance that controls the rollout; nil if none does.
 func (m *rolloutModel) controller() *rolloutInstance {
 	for _, i := range m.instances {
-		i.runner.mu.Lock()
-		c := i.runner.controllers[rolledService]
-		controls := c != nil && !c.lost && !i.dead
-		i.runner.mu.Unlock()
-		if controls {
+		runner := i.current()
+		runner.mu.Lock()
+		c := runner.controllers[rolledService]
+		controls := c != nil && !c.lost
+		runner.mu.Unlock()
+		if controls && !i.isDead() {
 			return i
 		}
 	}
@@ -28,9 +29,14 @@
 	i.stop()
 }
 
+func (i *rolloutInstance) isDead() bool {
+	i.m.mu.Lock()
+	defer i.m.mu.Unlock()
+	return i.dead
+}
+
 // restart starts the instance again, which finds the servers of these versions.
 func (i *rolloutInstance) restart(versions ...string) {
-	i.servers = nil
 	i.start()
 	i.setServers(versions...)
 }
@@ -41,7 +47,7 @@
 	for range 2000 {
 		time.Sleep(10 * time.Millisecond)
 		for _, i := range m.instances {
-			if s := i.runner.local.Find(rolledService); !i.dead && s.State().Record.State == state {
+			if s := i.current().local.Find(rolledService); !i.isDead() && s.State().Record.State == state {
 				return
 			}
 		}
@@ -153,9 +159,9 @@
 				if s := m.status(); s == "completed" {
 					t.Errorf("status %q", s)
 				}
-				before := m.byVersion["v2"]
+				before := m.callsOf("v2")
 				time.Sleep(5 * time.Second)
-				if after := m.byVersion["v2"]; after != before {
+				if after := m.callsOf("v2"); after != before {
 					t.Errorf("%d calls to the new version after the deadline", after-before)
 				}
 			})
@@ -172,9 +178,9 @@
 		time.Sleep(3900 * time.Millisecond)
 		m.count(func() { m.storeDown = true })
 		time.Sleep(6 * time.Second)
-		before := m.byVersion["v2"]
+		before := m.callsOf("v2")
 		time.Sleep(4 * time.Second)
-		if after := m.byVersion["v2"]; after != before {
+		if after := m.callsOf("v2"); after != before {
 			t.Errorf("%d calls while the store was away", after-before)
 		}
 		m.wantBounds()
@@ -210,10 +216,10 @@
 				time.Sleep(5 * time.Second)
 				m.order(second, 12*time.Second)
 				time.Sleep(time.Second)
-				before := m.byVersion["v2"]
+				before := m.callsOf("v2")
 				time.Sleep(10500 * time.Millisecond)
 				m.want("completed")
-				if after := m.byVersion["v2"]; second != "v2" && after != before {
+				if after := m.callsOf("v2"); second != "v2" && after != before {
 					t.Errorf("%d calls to the version of the first order", after-before)
 				}
 			})
@@ -266,9 +272,9 @@
 					i.kill()
 					i.restart(versions...)
 				}
-				before := m.byVersion[other]
+				before := m.callsOf(other)
 				time.Sleep(5 * time.Second)
-				if after := m.byVersion[other]; after != before {
+				if after := m.callsOf(other); after != before {
 					t.Errorf("%d calls to %s after all instances were restarted", after-before, other)
 				}
 			})
@@ -285,12 +291,14 @@
 		time.Sleep(2 * time.Second)
 		m.setServers("v1", "v1", "v2", "v2", "v2")
 		time.Sleep(1500 * time.Millisecond)
-		if n := m.byVersion["v2"]; n > 0 {
+		if n := m.callsOf("v2"); n > 0 {
 			t.Errorf("%d calls before the order", n)
 		}
-		if m.failures > 0 {
-			t.Errorf("%d requests failed", m.failures)
-		}
+		m.count(func() {
+			if m.failures > 0 {
+				t.Errorf("%d requests failed", m.failures)
+			}
+		})
 	})
 }
 
@@ -307,7 +315,7 @@
 					m.behaveAs(badVersions["all fail"])
 				}
 				// Of 40 requests a second 1.6 are sent.
-				m.sample = func() bool { n++; return n%25 == 0 }
+				m.count(func() { m.sample = func() bool { n++; return n%25 == 0 } })
 				m.order("v2", 12*time.Second)
 				time.Sleep(12 * time.Second)
 				m.want(wanted)
--- a/lentilward/rollout_model_test.go
+++ b/lentilward/rollout_model_test.go
@@ -113,17 +113,17 @@
 		out = os.Stdout
 	}
 	log := slog.New(slog.NewTextHandler(out, nil)).With("instance", i.name)
-	i.runner = &rolloutRunner{
+	runner := &rolloutRunner{
 		self: i.name, incarnation: uint64(time.Now().UnixNano()), log: log, local: local.New(log),
 		members:    i.members,
 		isStopping: func() bool { return false }, controllers: make(map[string]*rolloutControl), wake: make(chan struct{}, 1),
 		bounds: func() rollout.Bounds { return rollout.Bounds{Share: 0.1, Slack: 50, Rollback: 5 * time.Second} },
 		write:  i.write, reports: i.report, notices: i.notify,
 	}
-	i.runner.local.OnAsk = i.runner.wakeUp
-	i.service = balance.NewService(rolledService, func() *balance.RetryBudget { return &balance.RetryBudget{Window: time.Second} })
-	i.dead = false
+	runner.local.OnAsk = runner.wakeUp
+	service := balance.NewService(rolledService, func() *balance.RetryBudget { return &balance.RetryBudget{Window: time.Second} })
 	i.m.mu.Lock()
+	i.dead, i.runner, i.service, i.servers = false, runner, service, nil
 	records := make([]mirror.Record, 0, len(i.m.store))
 	for _, r := range i.m.store {
 		records = append(records, r)
@@ -131,9 +131,9 @@
 	i.m.mu.Unlock()
 	slices.SortFunc(records, func(a, b mirror.Record) int { return cmp.Compare(a.Key, b.Key) })
 	for _, r := range records {
-		i.runner.applyRecord(r, time.Now().Add(-time.Hour), time.Now())
+		runner.applyRecord(r, time.Now().Add(-time.Hour), time.Now())
 	}
-	go i.runner.run(ctx)
+	go runner.run(ctx)
 }
 
 func (i *rolloutInstance) members() *blackboard.Members {
@@ -167,12 +167,19 @@
 	return other, nil
 }
 
+// current returns the runner of the instance's present process.
+func (i *rolloutInstance) current() *rolloutRunner {
+	i.m.mu.Lock()
+	defer i.m.mu.Unlock()
+	return i.runner
+}
+
 func (i *rolloutInstance) report(_ context.Context, address netip.AddrPort, r []rollout.Report) ([]rollout.Reply, error) {
 	other, err := i.peer(address)
 	if err != nil {
 		return nil, err
 	}
-	return other.runner.handleReports(r), nil
+	return other.current().handleReports(r), nil
 }
 
 func (i *rolloutInstance) notify(_ context.Context, address netip.AddrPort, n []rollout.Notice) ([]rollout.Confirmation, error) {
@@ -180,7 +187,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return other.runner.handleNotices(n), nil
+	return other.current().handleNotices(n), nil
 }
 
 // write writes a record through the platform's codecs.
@@ -247,10 +254,10 @@
 			i.deliver(r, 50*time.Millisecond)
 			return
 		}
-		skip := i.dead || i.m.store[r.Key].Revision != r.Revision
+		skip, runner := i.dead || i.m.store[r.Key].Revision != r.Revision, i.runner
 		i.m.mu.Unlock()
 		if !skip {
-			i.runner.applyRecord(r, time.Now().Add(-delay), time.Now())
+			runner.applyRecord(r, time.Now().Add(-delay), time.Now())
 		}
 	})
 }
@@ -266,9 +273,11 @@
 func (i *rolloutInstance) setServers(versions ...string) {
 	count := make(map[string]int)
 	existing := make(map[string]*balance.Server)
-	for _, s := range i.servers {
-		existing[s.ID] = s
-	}
+	i.m.count(func() {
+		for _, s := range i.servers {
+			existing[s.ID] = s
+		}
+	})
 	var servers []*balance.Server
 	for _, v := range versions {
 		id := fmt.Sprint(v, "-", count[v])
@@ -281,7 +290,7 @@
 		}
 		servers = append(servers, s)
 	}
-	i.servers = servers
+	i.m.count(func() { i.servers = servers })
 	i.runner.local.SetServers(i.service, count, time.Now())
 	i.service.SetServers(servers)
 }
@@ -302,27 +311,28 @@
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)))
 		i := m.instances[rand.IntN(len(m.instances))]
-		if !i.dead && (m.sample == nil || m.sample()) {
-			route := m.route()
-			go i.request(route)
+		m.mu.Lock()
+		route, service, isSent := m.route, i.service, !i.dead && (m.sample == nil || m.sample())
+		m.mu.Unlock()
+		if isSent {
+			go i.request(service, route())
 		}
 	}
 }
 
 // request makes the first call of a request and retries it once after a failure.
-func (i *rolloutInstance) request(route string) {
-	if i.service.AwaitsPermit(time.Now()) {
+func (i *rolloutInstance) request(service *balance.Service, route string) {
+	if service.AwaitsPermit(time.Now()) {
 		time.Sleep(balance.PermitWait)
 	}
-	s := i.service.AcquireFirst(route, time.Now())
-	if s == nil {
-		i.m.count(func() { i.m.failures++ })
+	s := service.AcquireFirst(route, time.Now())
+	if s != nil && i.call(service, s, route, false) {
 		return
 	}
-	if i.call(s, route, false) {
-		return
+	if s != nil {
+		s = service.Acquire([]*balance.Server{s}, time.Now())
 	}
-	if s = i.service.Acquire([]*balance.Server{s}, time.Now()); s == nil || !i.call(s, route, true) {
+	if s == nil || !i.call(service, s, route, true) {
 		i.m.count(func() { i.m.failures++ })
 	}
 }
@@ -334,10 +344,13 @@
 }
 
 // call makes one call and reports whether it succeeded.
-func (i *rolloutInstance) call(s *balance.Server, route string, extra bool) bool {
+func (i *rolloutInstance) call(service *balance.Service, s *balance.Server, route string, extra bool) bool {
 	m, begin := i.m, time.Now()
+	var target string
+	var behave func(modelCall) (time.Duration, bool)
 	c := modelCall{version: s.Version, route: route}
 	m.count(func() {
+		target, behave = m.target, m.behave
 		c.sinceOrder = begin.Sub(m.ordered)
 		within := !m.ordered.IsZero() && c.sinceOrder <= m.duration
 		m.byVersion[s.Version]++
@@ -359,20 +372,27 @@
 			m.cut++
 		}
 	})
-	took, failed := m.behave(c)
+	took, failed := behave(c)
 	time.Sleep(took)
 	outcome := balance.Replied
 	if failed {
 		outcome = balance.Failed
 	}
-	if s.Version == m.target && (failed || took >= 30*time.Millisecond) {
+	if s.Version == target && (failed || took >= 30*time.Millisecond) {
 		m.count(func() { m.badAnswers = append(m.badAnswers, time.Now()) })
 	}
-	i.service.RecordVersion(s, balance.VersionResult{Route: route, Extra: extra, Elapsed: took, Outcome: outcome})
-	i.service.Release(s)
+	service.RecordVersion(s, balance.VersionResult{Route: route, Extra: extra, Elapsed: took, Outcome: outcome})
+	service.Release(s)
 	return !failed
 }
 
+// callsOf returns the number of calls to servers of a version.
+func (m *rolloutModel) callsOf(version string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byVersion[version]
+}
+
 // status returns the last status of the service.
 func (m *rolloutModel) status() string {
 	m.mu.Lock()
@@ -406,7 +426,10 @@
 	if got := m.status(); got != status {
 		m.t.Errorf("status is %q, want %q", got, status)
 	}
-	m.t.Logf("status %q: %d of %d requests exposed, %d bad answers, %d failed requests, calls by version %v, %d cut", m.status(), m.exposed, m.requests,
+	state := m.status()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.t.Logf("status %q: %d of %d requests exposed, %d bad answers, %d failed requests, calls by version %v, %d cut", state, m.exposed, m.requests,
 		len(m.badAnswers), m.failures, m.byVersion, m.cut)
 }
 
--- a/lentilward/rollout_test.go
+++ b/lentilward/rollout_test.go
@@ -33,24 +33,35 @@
 }
 
 // usual returns what the old version does, and a target that is good.
-func usual(m *rolloutModel) (time.Duration, bool) {
+func usual() (time.Duration, bool) {
 	return normalTime + rand.N(normalTime/2), rand.Float64() < 0.01
 }
 
 // behaveAs makes the target behave in a way and all other versions as usual.
 func (m *rolloutModel) behaveAs(target func(m *rolloutModel, c modelCall) (time.Duration, bool)) {
-	m.behave = func(c modelCall) (time.Duration, bool) {
-		m.mu.Lock()
-		defer m.mu.Unlock()
+	m.setBehaviour(func(c modelCall) (time.Duration, bool) {
 		if c.version == m.target && target != nil {
 			return target(m, c)
 		}
-		return usual(m)
+		return usual()
+	})
+}
+
+// setBehaviour sets what servers do with a request.
+func (m *rolloutModel) setBehaviour(behave func(c modelCall) (time.Duration, bool)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.behave = func(c modelCall) (time.Duration, bool) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return behave(c)
 	}
 }
 
 // twoRoutes makes a tenth of the requests ones of a rare route.
 func (m *rolloutModel) twoRoutes() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.route = func() string {
 		if rand.IntN(8) == 0 {
 			return "rare"
@@ -72,9 +83,9 @@
 					time.Sleep(12 * time.Second)
 					m.want("rolled_back")
 					m.wantBounds()
-					before := m.byVersion["v2"]
+					before := m.callsOf("v2")
 					time.Sleep(5 * time.Second)
-					if after := m.byVersion["v2"]; after != before {
+					if after := m.callsOf("v2"); after != before {
 						t.Errorf("%d calls after the rollback", after-before)
 					}
 				})
@@ -94,9 +105,9 @@
 				m.order("v2", 12*time.Second)
 				time.Sleep(11500 * time.Millisecond)
 				m.want("completed")
-				before := m.byVersion["v1"]
+				before := m.callsOf("v1")
 				time.Sleep(5 * time.Second)
-				if after := m.byVersion["v1"]; after != before || m.cut > 0 {
+				if after := m.callsOf("v1"); after != before || m.cut > 0 {
 					t.Errorf("%d calls to the old servers after the end, %d cut", after-before, m.cut)
 				}
 			})
@@ -110,14 +121,12 @@
 	for _, at := range []time.Duration{-time.Second, 2 * time.Second, 6 * time.Second} {
 		t.Run(at.String(), func(t *testing.T) {
 			runModel(t, 26, func(m *rolloutModel) {
-				m.behave = func(c modelCall) (time.Duration, bool) {
-					m.mu.Lock()
-					defer m.mu.Unlock()
+				m.setBehaviour(func(c modelCall) (time.Duration, bool) {
 					if c.sinceOrder > at {
 						return slowTime + rand.N(slowTime), rand.Float64() < 0.1
 					}
-					return usual(m)
-				}
+					return usual()
+				})
 				m.order("v2", 12*time.Second)
 				time.Sleep(12 * time.Second)
 				m.want("completed")
