Follow plain replacements after a rollout, and test calls of the engine

Cause: after completed a service stayed with the target although another version had replaced it, and lost servers of the present version were not replaced by others. Change: the version in use is followed after completed, where records of stopped servers do not count; others serve without an order while no present server is reachable.

--- a/lentilward/balance/version.go
+++ b/lentilward/balance/version.go
@@ -17,8 +17,11 @@
 	// Trial gets a first call for each permit that TakePermit returns; "" stands for none.
 	Trial string
 	// Excluded gets no calls in any case.
-	Excluded   string
-	TakePermit func(route string, now time.Time) bool
+	Excluded string
+	// OthersIfUnreachable permits versions that are neither Trial nor Excluded while no server
+	// of Prefer that is in service is reachable.
+	OthersIfUnreachable bool
+	TakePermit          func(route string, now time.Time) bool
 	// AskPermit asks for a permit for a first call and reports whether to wait PermitWait
 	// for it before TakePermit is called.
 	AskPermit func(now time.Time) bool
@@ -119,6 +122,9 @@
 		preferred, trial = trial, nil
 	}
 	view := &versionView{policy: p}
+	if p.OthersIfUnreachable {
+		reserve = others
+	}
 	if len(trial) > 0 {
 		view.trial = s.among(trial)
 	}
@@ -164,7 +170,7 @@
 // acquireReserve takes a slot on a server of the version in reserve.
 func (s *Service) acquireReserve(exclude []*Server, now time.Time) *Server {
 	view := s.versions.Load()
-	if view == nil || view.reserve == nil {
+	if view == nil || view.reserve == nil || view.policy.OthersIfUnreachable && s.isAnyReachable(now) {
 		return nil
 	}
 	server := view.reserve.Acquire(exclude, now)
@@ -175,6 +181,11 @@
 	return server
 }
 
+// isAnyReachable reports whether any server that calls go to otherwise is reachable.
+func (s *Service) isAnyReachable(now time.Time) bool {
+	return slices.ContainsFunc(s.Servers(), func(server *Server) bool { return !server.IsOutOfService() && !server.checkBlocked(now) })
+}
+
 // isReserveReachable reports whether a server of the version in reserve is reachable.
 func (s *Service) isReserveReachable(now time.Time) bool {
 	view := s.versions.Load()
--- a/lentilward/balance/version_test.go
+++ b/lentilward/balance/version_test.go
@@ -117,6 +117,26 @@
 	}
 }
 
+// Guards against a service that is not served while all servers of its version were lost at
+// once and others are there, and against others that get calls beside a busy server.
+func TestOthersServeOnlyIfUnreachable(t *testing.T) {
+	s := newVersionedService("v1", "v2")
+	s.SetVersionPolicy(&VersionPolicy{Prefer: "v1", OthersIfUnreachable: true})
+	now := time.Now()
+	for range 4 {
+		if server := s.Acquire(nil, now); server == nil || server.Version != "v1" {
+			t.Fatalf("got %v", server)
+		}
+	}
+	if server := s.Acquire(nil, now); server != nil {
+		t.Errorf("got %s beside a busy server", server.ID)
+	}
+	s.inService[0].RecordWrongServer(now)
+	if server := s.Acquire(nil, now); server == nil || server.Version != "v2" {
+		t.Errorf("got %v while the present version is not reachable", server)
+	}
+}
+
 // Guards against calls to old servers that start unseen while these are taken to be idle:
 // once the policy is set and no call is in flight, none may start.
 func TestNoCallStartsOnceOldServersAreIdle(t *testing.T) {
--- a/lentilward/rollout/local/local.go
+++ b/lentilward/rollout/local/local.go
@@ -248,7 +248,11 @@
 			policy.Prefer = target
 		}
 	case rollout.Completed:
-		policy.Prefer = target
+		if s.recordRevision == 0 || s.record.State != domain.RolloutCompleted {
+			policy.Prefer = target
+		}
+	case rollout.Idle:
+		policy.OthersIfUnreachable = true
 	case rollout.RolledBack:
 		if target != present {
 			policy.Excluded = target
@@ -271,6 +275,9 @@
 		unwanted = s.order.Target
 	case s.phase() == rollout.RolledBack, !active && s.recordRevision != 0 && s.record.State != domain.RolloutCompleted:
 		unwanted = s.record.Target
+	case !active && s.recordRevision != 0 && s.record.Present != s.record.Target:
+		// The records of old servers that have stopped may stay for a while.
+		unwanted = s.record.Present
 	}
 	version := mostServers(s.versions, unwanted)
 	hasPresent := s.versions[s.present] > 0 && s.present != "" && s.present != unwanted
--- a/lentilward/rollout/local/local_test.go
+++ b/lentilward/rollout/local/local_test.go
@@ -80,6 +80,25 @@
 	if got := s.setServers(map[string]int{"v1": 3, "v2": 2}); got != "v2" {
 		t.Errorf("present %q after it was completed", got)
 	}
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestService()
+		s.order("v2", 5)
+		s.setRecord(domain.RolloutCompleted, 5)
+		for _, c := range []struct {
+			versions map[string]int
+			want     string
+		}{
+			// The records of old servers that have stopped are still there.
+			{map[string]int{"v1": 3, "v2": 2}, "v2"},
+			{map[string]int{"v2": 1, "v3": 3}, "v3"},
+		} {
+			s.setServers(c.versions)
+			time.Sleep(2 * followDelay)
+			if got := s.setServers(c.versions); got != c.want || s.Find("s").applied.present != c.want {
+				t.Errorf("%v: present %q, want %q", c.versions, got, c.want)
+			}
+		}
+	})
 	s.order("v3", 8)
 	if got := s.setServers(map[string]int{"v2": 2, "v3": 3}); got != "v2" {
 		t.Errorf("present %q during the next order", got)
