Judge replies by the time since they were sent

Cause: servers of a new version have fewer open connections, and opening one takes 6 ms. Change: the time of a reply counts from its sending; an order is taken up at once.

--- a/lentilward/gateway_rollout.go
+++ b/lentilward/gateway_rollout.go
@@ -142,6 +142,7 @@
 
 // applyRecord takes over an order or a record that became known after knownAt.
 func (r *rolloutRunner) applyRecord(m mirror.Record, knownAt, now time.Time) {
+	defer r.wakeUp()
 	if service, ok := strings.CutPrefix(m.Key, platform.RolloutOrderPrefix); ok {
 		o := rollout.Order{Revision: m.Revision, KnownAt: knownAt}
 		if age := now.Sub(knownAt); age > maxOrderLag {
--- a/lentilward/scatter/version.go
+++ b/lentilward/scatter/version.go
@@ -18,7 +18,12 @@
 	if !service.ObservesVersions() {
 		return
 	}
-	result := balance.VersionResult{Route: c.run.task.Route.Name, Extra: c.extra, Elapsed: now.Sub(c.begin), Outcome: balance.Replied}
+	begin := c.begin
+	if sentAt := c.sentAt.Load(); sentAt != nil {
+		// New servers have fewer open connections than others.
+		begin = *sentAt
+	}
+	result := balance.VersionResult{Route: c.run.task.Route.Name, Extra: c.extra, Elapsed: now.Sub(begin), Outcome: balance.Replied}
 	switch {
 	case errors.Is(err, conn.ErrNotSent), errors.Is(err, conn.ErrConnectionLimit), errors.Is(err, conn.ErrConnectionReset),
 		errors.Is(err, memory.ErrExhausted):
--- a/lentilward/scatter/version_test.go
+++ b/lentilward/scatter/version_test.go
@@ -1,7 +1,10 @@
 package scatter
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -97,3 +100,31 @@
 		})
 	}
 }
+
+// Guards against a version that is taken for slow because connections to its servers have
+// to be opened.
+func TestTimeToConnectSaysNothingOfTheVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		present := &fakeServer{name: "v1", respond: replyAfter("v1", time.Millisecond)}
+		trial := &fakeServer{name: "v2", respond: replyAfter("v2", time.Millisecond)}
+		s := newShard(t, "s", present, trial)
+		for _, server := range s.Servers() {
+			server.Version = server.ID
+			server.Pool.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+				time.Sleep(6 * time.Millisecond)
+				return trial.dial(ctx, address)
+			}
+		}
+		var elapsed time.Duration
+		s.SetVersionPolicy(&balance.VersionPolicy{
+			Prefer: "v1", Trial: "v2", TakePermit: func(string, time.Time) bool { return true },
+			OnResult: func(r balance.VersionResult) { elapsed = r.Elapsed },
+		})
+		if _, _, refusal := runTask(t, newTask(singleRoute(false), s)); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if elapsed != time.Millisecond {
+			t.Errorf("the call took %v, want 1 ms", elapsed)
+		}
+	})
+}
