--- a/lentilward/rollout_fault_test.go
+++ b/lentilward/rollout_fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -326,3 +327,24 @@
 		})
 	}
 }
+
+// Guards against a version that is completed although it turns bad while the traffic moves
+// to it.
+func TestVersionThatTurnsBadWhileMovingIsRolledBack(t *testing.T) {
+	runModel(t, 26, func(m *rolloutModel) {
+		var movingAt time.Duration
+		m.behaveAs(func(_ *rolloutModel, c modelCall) (time.Duration, bool) {
+			return normalTime, movingAt > 0 && c.sinceOrder > movingAt && rand.IntN(2) == 0
+		})
+		m.order("v2", 12*time.Second)
+		m.awaitRecord(domain.RolloutMoving)
+		m.count(func() { movingAt = time.Since(m.ordered) })
+		time.Sleep(12*time.Second - time.Since(m.ordered))
+		m.want("rolled_back")
+		before := m.callsOf("v2")
+		time.Sleep(5 * time.Second)
+		if after := m.callsOf("v2"); after != before {
+			t.Errorf("%d calls after the rollback", after-before)
+		}
+	})
+}
--- a/lentilward/rollout_model_test.go
+++ b/lentilward/rollout_model_test.go
@@ -63,7 +63,9 @@
 	// oldStopped is when the old version's servers stopped; calls in flight then are cut.
 	oldStopped time.Time
 	cut        int
-	stopOld    string
+	// frames counts the frames between instances.
+	frames  int
+	stopOld string
 }
 
 // modelCall is a call of a server in the model.
@@ -161,6 +163,7 @@
 	other := i.m.instances[int(a[2])<<8|int(a[3])]
 	i.m.mu.Lock()
 	defer i.m.mu.Unlock()
+	i.m.frames++
 	if other.dead || other.cutOff || i.cutOff || i.dead {
 		return nil, errModel
 	}
@@ -429,8 +432,8 @@
 	state := m.status()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.t.Logf("status %q: %d of %d requests exposed, %d bad answers, %d failed requests, calls by version %v, %d cut", state, m.exposed, m.requests,
-		len(m.badAnswers), m.failures, m.byVersion, m.cut)
+	m.t.Logf("status %q: %d of %d requests exposed, %d bad answers, %d failed requests, calls by version %v, %d cut, %d records written, %d frames", state, m.exposed, m.requests,
+		len(m.badAnswers), m.failures, m.byVersion, m.cut, m.revision, m.frames)
 }
 
 // runModel runs a test in a bubble and ends all instances after it.
