Keep the version in use while news comes before the record

Cause: news that a version is bad could come before the record of its order; where the order before was completed, its target then lost its place as the version in use. And replies were not judged while a write to a silent store was on its way. Change: the version in use does not change between news and record; judging goes on beside writes, but not beside that of the good end.

--- a/lentilward/rollout/controller.go
+++ b/lentilward/rollout/controller.go
@@ -30,8 +30,10 @@
 	// load; -1 before.
 	newAtLoad int
 	// suspectSince is since when the version looks bad; zero if it does not.
-	suspectSince              time.Time
-	judgedAt                  time.Time
+	suspectSince time.Time
+	judgedAt     time.Time
+	// completing is set while the write of the good end is on its way.
+	completing                bool
 	movingSince, closingSince time.Time
 	confirmations             map[string]confirmation
 }
@@ -146,9 +148,10 @@
 	return reply
 }
 
-// judge checks whether the version is bad.
-func (c *Controller) judge(now time.Time) {
-	if c.badReason != "" || c.record.State.IsFinal() || now.Sub(c.judgedAt) < judgeInterval {
+// Judge checks whether the version is bad. It must be called also while a write is on its
+// way; while that of the end is, it is too late.
+func (c *Controller) Judge(now time.Time) {
+	if c.badReason != "" || c.completing || c.record.State.IsFinal() || now.Sub(c.judgedAt) < judgeInterval {
 		return
 	}
 	c.judgedAt = now
@@ -173,7 +176,7 @@
 }
 
 func (c *Controller) judgeBad(reason string) {
-	if c.badReason != "" || c.record.State.IsFinal() {
+	if c.badReason != "" || c.completing || c.record.State.IsFinal() {
 		return
 	}
 	c.badReason = reason
@@ -210,7 +213,7 @@
 	if c.record.State.IsFinal() || now.Before(c.nextWriteAt) {
 		return next, false
 	}
-	c.judge(now)
+	c.Judge(now)
 	if c.newAtLoad < 0 && c.elapsed(now) >= c.part(loadFrom) {
 		c.newAtLoad = total(c.evidence.pooled()).New
 	}
@@ -227,7 +230,7 @@
 		}
 	case c.hasMoved(now, alive):
 		if targetServers > 0 && c.isStopSafe(alive) {
-			next.State = domain.RolloutCompleted
+			next.State, c.completing = domain.RolloutCompleted, true
 		} else {
 			c.judgeBad("instances or servers were lost while the traffic moved")
 		}
@@ -288,7 +291,9 @@
 }
 
 // WriteFailed records that a write has failed.
-func (c *Controller) WriteFailed(now time.Time) { c.nextWriteAt = now.Add(writePause) }
+func (c *Controller) WriteFailed(now time.Time) {
+	c.nextWriteAt, c.completing = now.Add(writePause), false
+}
 
 // IsDone reports whether the end of the rollout is recorded.
 func (c *Controller) IsDone() bool { return c.record.State.IsFinal() }
--- a/lentilward/rollout/local/local.go
+++ b/lentilward/rollout/local/local.go
@@ -200,13 +200,18 @@
 	return c
 }
 
+// isRecorded reports whether the record is about the present order. The caller holds mu.
+func (s *Service) isRecorded() bool {
+	return s.recordRevision != 0 && s.record.OrderRevision == s.order.Revision
+}
+
 // phase returns the phase of the present order. The caller holds mu.
 func (s *Service) phase() rollout.Phase {
 	if s.order.Revision == 0 {
 		return rollout.Idle
 	}
 	p := max(rollout.Running, s.notice.Phase)
-	if s.recordRevision != 0 && s.record.OrderRevision == s.order.Revision {
+	if s.isRecorded() {
 		recorded := rollout.PhaseOf(s.record.State)
 		if recorded >= rollout.Completed {
 			return recorded
@@ -248,7 +253,7 @@
 			policy.Prefer = target
 		}
 	case rollout.Completed:
-		if s.recordRevision == 0 || s.record.State != domain.RolloutCompleted {
+		if !s.isRecorded() || s.record.State != domain.RolloutCompleted {
 			policy.Prefer = target
 		}
 	case rollout.Idle:
@@ -264,18 +269,21 @@
 // followMajority determines the present version where no record tells it, and follows the
 // servers of a service that changes its version without an order. The caller holds mu.
 func (s *Service) followMajority(now time.Time) {
-	active := s.order.Revision != 0 && s.phase() < rollout.Completed
-	recorded := active && s.recordRevision != 0 && s.record.OrderRevision == s.order.Revision
-	if recorded || len(s.versions) == 0 {
+	ordered := s.order.Revision != 0
+	active := ordered && s.phase() < rollout.Completed
+	// While a rollout is under way its record tells, and after news of its end the record
+	// that is still to come.
+	if len(s.versions) == 0 || active && s.isRecorded() || ordered && !active && !s.isRecorded() {
 		return
 	}
 	unwanted := ""
 	switch {
 	case active && !(s.recordRevision != 0 && s.record.State == domain.RolloutCompleted && s.record.Target == s.order.Target):
 		unwanted = s.order.Target
-	case s.phase() == rollout.RolledBack, !active && s.recordRevision != 0 && s.record.State != domain.RolloutCompleted:
+	case active, s.recordRevision == 0:
+	case s.record.State != domain.RolloutCompleted:
 		unwanted = s.record.Target
-	case !active && s.recordRevision != 0 && s.record.Present != s.record.Target:
+	case s.record.Present != s.record.Target:
 		// The records of old servers that have stopped may stay for a while.
 		unwanted = s.record.Present
 	}
--- a/lentilward/rollout/local/local_test.go
+++ b/lentilward/rollout/local/local_test.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"log/slog"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"lentilward.org/lentilward/balance"
+	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/rollout"
 	"lentilward.org/schema/domain"
 )
@@ -233,6 +235,37 @@
 	}
 }
 
+// Guards against news that come before the record of their order, while the record of an
+// earlier one is known: the target of that is the version in use.
+func TestNewsBeforeTheRecord(t *testing.T) {
+	for phase, want := range map[rollout.Phase]string{rollout.RolledBack: "v2", rollout.Completed: "v3"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newTestService()
+			s.order("v2", 5)
+			s.setRecord(domain.RolloutCompleted, 5)
+			s.order("v3", 8)
+			s.setServers(map[string]int{"v2": 3, "v3": 3})
+			var servers []*balance.Server
+			for _, v := range []string{"v2", "v3"} {
+				pool := conn.NewPool(netip.MustParseAddrPort("10.0.0.1:80"))
+				pool.Limit.Store(4)
+				servers = append(servers, balance.NewServer(domain.BackendServer{ID: v, Version: v}, pool, false))
+			}
+			s.b.SetServers(servers)
+			s.Notify(rollout.Notice{Service: "s", Order: 8, Phase: phase}, time.Now())
+			time.Sleep(2 * followDelay)
+			s.setServers(map[string]int{"v2": 2, "v3": 3})
+			for range 20 {
+				server := s.b.AcquireFirst("r", time.Now())
+				if server.Version != want {
+					t.Fatalf("a call went to %s after %v", server.Version, phase)
+				}
+				s.b.Release(server)
+			}
+		})
+	}
+}
+
 // Guards against slow replies that are not seen, and a day on which all servers are slow
 // that is taken for slow replies.
 func TestSlowReplies(t *testing.T) {
--- a/lentilward/rollout_control.go
+++ b/lentilward/rollout_control.go
@@ -38,6 +38,7 @@
 	for _, m := range members.AlivePeers() {
 		alive = append(alive, m.Name)
 	}
+	c.Judge(now)
 	if !c.writing {
 		if record, due := c.Step(now, alive, state.Versions[state.Order.Target]); due {
 			c.writing = true
--- a/lentilward/rollout_fault_test.go
+++ b/lentilward/rollout_fault_test.go
@@ -173,20 +173,47 @@
 // Guards against a bad version that gets requests because the store is not available
 // between the verdict and the status, and a status that is not written afterwards.
 func TestStoreIsAwayBetweenVerdictAndStatus(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent=", silent), func(t *testing.T) {
+			runModel(t, 26, func(m *rolloutModel) {
+				m.behaveAs(badVersions["later"])
+				m.order("v2", 12*time.Second)
+				time.Sleep(3900 * time.Millisecond)
+				m.count(func() { m.storeDown, m.storeSilent = !silent, silent })
+				time.Sleep(6 * time.Second)
+				before := m.callsOf("v2")
+				time.Sleep(4 * time.Second)
+				if after := m.callsOf("v2"); after != before {
+					t.Errorf("%d calls while the store was away", after-before)
+				}
+				m.wantBounds()
+				m.count(func() { m.storeDown, m.storeSilent = false, false })
+				time.Sleep(4 * time.Second)
+				m.want("rolled_back")
+			})
+		})
+	}
+}
+
+// Guards against a version that turns bad while the traffic moves and the store does not
+// answer: peers must learn of it without the store.
+func TestStoreIsSilentWhileMoving(t *testing.T) {
 	runModel(t, 26, func(m *rolloutModel) {
-		m.behaveAs(badVersions["later"])
+		var movingAt time.Duration
+		m.behaveAs(func(_ *rolloutModel, c modelCall) (time.Duration, bool) {
+			return normalTime, movingAt > 0 && c.sinceOrder > movingAt && rand.IntN(2) == 0
+		})
 		m.order("v2", 12*time.Second)
-		time.Sleep(3900 * time.Millisecond)
-		m.count(func() { m.storeDown = true })
-		time.Sleep(6 * time.Second)
+		m.awaitRecord(domain.RolloutMoving)
+		m.count(func() { movingAt, m.storeSilent = time.Since(m.ordered), true })
+		time.Sleep(3 * time.Second)
 		before := m.callsOf("v2")
-		time.Sleep(4 * time.Second)
+		time.Sleep(6 * time.Second)
 		if after := m.callsOf("v2"); after != before {
-			t.Errorf("%d calls while the store was away", after-before)
+			t.Errorf("%d calls 3 s after the version turned bad", after-before)
 		}
-		m.wantBounds()
-		m.count(func() { m.storeDown = false })
-		time.Sleep(2 * time.Second)
+		m.count(func() { m.storeSilent = false })
+		time.Sleep(5 * time.Second)
 		m.want("rolled_back")
 	})
 }
--- a/lentilward/rollout_model_test.go
+++ b/lentilward/rollout_model_test.go
@@ -44,7 +44,8 @@
 	revision uint64
 	store    map[string]mirror.Record
 	// storeDown makes all writes fail. loseAnswers makes them succeed without an answer.
-	storeDown, loseAnswers bool
+	// storeSilent makes them time out.
+	storeDown, storeSilent, loseAnswers bool
 	// statuses has the states reported for the service, in order.
 	statuses []string
 	ordered  time.Time
@@ -196,6 +197,10 @@
 // write writes a record through the platform's codecs.
 func (i *rolloutInstance) write(_ context.Context, service string, record domain.RolloutRecord, revision uint64) (uint64, error) {
 	time.Sleep(5 * time.Millisecond)
+	if i.m.isSilent() {
+		time.Sleep(rolloutWriteTimeout)
+		return 0, errModel
+	}
 	w, err := platform.EncodeRolloutRecord(service, record)
 	if err != nil {
 		return 0, err
@@ -225,6 +230,12 @@
 	return written, nil
 }
 
+func (m *rolloutModel) isSilent() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.storeSilent
+}
+
 // stopServersExcept stops the servers of other versions: calls in flight to them are cut.
 func (m *rolloutModel) stopServersExcept(version string) {
 	m.oldStopped, m.stopOld = time.Now(), version
