Pause after a conflict before a rollout is controlled again

Cause: an instance whose replica lags would try to take over a rollout 20 times a second. Change: it waits 500 ms after each conflict.

--- a/lentilward/gateway_rollout.go
+++ b/lentilward/gateway_rollout.go
@@ -36,6 +36,9 @@
 	takeOverDelay = 2 * time.Second
 	// afterNoticePeriod is how long a controller tells peers of the end of a rollout.
 	afterNoticePeriod = 3 * time.Second
+	// conflictPause is how long an instance waits after a conflict before it controls the
+	// rollout again: its replica must first show what the conflict was with.
+	conflictPause = 500 * time.Millisecond
 	// maxOrderLag is the longest time for which an order is taken to have been under way
 	// to this instance; it usually takes some milliseconds, and an instance that has
 	// started can't tell.
@@ -66,6 +69,9 @@
 
 	mu          sync.Mutex
 	controllers map[string]*rolloutControl
+	// retryAt is until when this instance does not control a service's rollout again after
+	// a conflict.
+	retryAt map[string]time.Time
 }
 
 // rolloutControl is a controller with what is on its way for it. rolloutRunner.mu guards
@@ -95,7 +101,7 @@
 	r := &rolloutRunner{
 		self: o.Name, incarnation: uint64(time.Now().UnixNano()), log: g.log, local: local.New(g.log), members: g.board.Members.Load,
 		isStopping:  func() bool { return g.board.LocalInstance.Load().Phase >= blackboard.Stopping },
-		controllers: make(map[string]*rolloutControl), wake: make(chan struct{}, 1), reports: g.links.ReportRollouts, notices: g.links.NotifyRollouts,
+		controllers: make(map[string]*rolloutControl), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1), reports: g.links.ReportRollouts, notices: g.links.NotifyRollouts,
 		bounds: func() rollout.Bounds {
 			b := g.options.Load().Rollouts
 			return rollout.Bounds{Share: b.ExposureShare, Slack: b.ExposureSlack, Rollback: time.Duration(b.Rollback)}
--- a/lentilward/rollout_control.go
+++ b/lentilward/rollout_control.go
@@ -21,11 +21,14 @@
 	defer r.mu.Unlock()
 	c := r.controllers[state.Service]
 	if c != nil && r.isOver(c, state, now) {
+		if c.lost {
+			r.retryAt[state.Service] = now.Add(conflictPause)
+		}
 		delete(r.controllers, state.Service)
 		c = nil
 	}
 	if c == nil {
-		if !r.isCandidate(state, members, now) {
+		if now.Before(r.retryAt[state.Service]) || !r.isCandidate(state, members, now) {
 			return false
 		}
 		c = &rolloutControl{
--- a/lentilward/rollout_model_test.go
+++ b/lentilward/rollout_model_test.go
@@ -119,7 +119,7 @@
 	runner := &rolloutRunner{
 		self: i.name, incarnation: uint64(time.Now().UnixNano()), log: log, local: local.New(log),
 		members:    i.members,
-		isStopping: func() bool { return false }, controllers: make(map[string]*rolloutControl), wake: make(chan struct{}, 1),
+		isStopping: func() bool { return false }, controllers: make(map[string]*rolloutControl), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		bounds: func() rollout.Bounds { return rollout.Bounds{Share: 0.1, Slack: 50, Rollback: 5 * time.Second} },
 		write:  i.write, reports: i.report, notices: i.notify,
 	}
