Add the package quota: allowances of tenants over all instances

Cause: a tenant's requests are bounded over all instances, callers are uneven, and the home of a tenant can be lost, frozen, in dispute or cut off. Change: token bucket, home that lends for a term, local side with prefetch and fallback, sampling of how many instances agree on the home. No network; not wired yet.

--- /dev/null
+++ b/lentilward/quota/homes.go
@@ -0,0 +1,124 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// attemptTimeout bounds one question to a home. A home with a small share of a core may
+	// be late by 100 ms.
+	attemptTimeout = 200 * time.Millisecond
+	// silentPeriod is how long a home that did not reply is passed over.
+	silentPeriod = 2 * time.Second
+	// maxAttempts bounds the instances that are asked for one Ask.
+	maxAttempts = 4
+)
+
+// ErrNoHome means that no instance could be asked.
+var ErrNoHome = errors.New("no home can be reached")
+
+// Candidate is an instance that may be the home of tenants.
+type Candidate[P comparable] struct {
+	Peer P
+	Name string
+}
+
+// Homes finds the homes of tenants: the first instance in rendezvous hashing order that
+// is alive and has replied lately. P identifies an instance.
+type Homes[P comparable] struct {
+	// Candidates returns the instances that are alive.
+	Candidates func() []Candidate[P]
+	// Send asks an instance. A final question is answered by the one that gets it; others
+	// may be answered with the home that it knows.
+	Send func(ctx context.Context, to P, a Ask, final bool) (Reply[P], error)
+	// OnMoved is called when an instance has named another home than this one knows.
+	OnMoved func()
+
+	self   P
+	mu     sync.Mutex
+	silent map[P]time.Time
+}
+
+// Reply is the reply to a question: a Grant, or Moved and the home to ask.
+type Reply[P comparable] struct {
+	Grant
+	Moved bool `cbor:"moved,omitempty"`
+	Home  P    `cbor:"home"`
+}
+
+// NewHomes returns the homes as the instance self sees them.
+func NewHomes[P comparable](self P) *Homes[P] {
+	return &Homes[P]{OnMoved: func() {}, self: self, silent: make(map[P]time.Time)}
+}
+
+// Of returns the home of a tenant, and false if no candidate has replied lately.
+func (f *Homes[P]) Of(tenant string) (home P, ok bool) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	bestHash := uint64(0)
+	for _, c := range f.Candidates() {
+		if until, silent := f.silent[c.Peer]; silent && now.Before(until) && c.Peer != f.self {
+			continue
+		}
+		if hash := xxhash.Sum64String(c.Name + "\x00quota\x00" + tenant); !ok || hash > bestHash {
+			home, bestHash, ok = c.Peer, hash, true
+		}
+	}
+	return home, ok
+}
+
+// IsHome reports whether an instance is the home of a tenant.
+func (f *Homes[P]) IsHome(p P, tenant string) bool {
+	home, ok := f.Of(tenant)
+	return ok && home == p
+}
+
+// Ask asks the home of a tenant. It follows the answers of instances that know another
+// home, and passes over those that do not reply.
+func (f *Homes[P]) Ask(ctx context.Context, a Ask) (Grant, error) {
+	to, ok := f.Of(a.Tenant)
+	final, err := false, ErrNoHome
+	for attempt := 0; ok && attempt < maxAttempts; attempt++ {
+		final = final || attempt == maxAttempts-1
+		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		reply, failure := f.Send(attemptCtx, to, a, final)
+		cancel()
+		switch {
+		case failure != nil && to == f.self:
+			return Grant{}, failure
+		case failure != nil:
+			err = failure
+			f.mu.Lock()
+			f.silent[to] = time.Now().Add(silentPeriod)
+			f.mu.Unlock()
+			// What is reported may have arrived.
+			a.Returned, a.Demand = 0, 0
+			to, ok = f.Of(a.Tenant)
+			final = false
+		case reply.Moved && f.isSilent(reply.Home):
+			// The two disagree about whether the home is alive; the one that replies lends.
+			final = true
+		case reply.Moved:
+			f.OnMoved()
+			to, final = reply.Home, true
+		default:
+			return reply.Grant, nil
+		}
+		if ctx.Err() != nil {
+			return Grant{}, ctx.Err()
+		}
+	}
+	return Grant{}, err
+}
+
+func (f *Homes[P]) isSilent(p P) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.silent[p])
+}
--- /dev/null
+++ b/lentilward/quota/model_test.go
@@ -0,0 +1,488 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A model of a fleet in virtual time. Each instance has its own view of who is alive,
+// which follows a fault after some seconds, and every message takes a round trip.
+const (
+	modelTenants = 81
+	modelTotal   = 48.0
+	modelWindow  = 5 * time.Second
+	modelUptime  = 20 * time.Second
+	modelEnd     = 50 * time.Second
+	// modelSurge is the largest tenant; it sends 7.5 times its rate from 10 s to 18 s after
+	// modelUptime.
+	modelSurge = 0
+	// modelSeeds is the number of instances that all others know when they start, and
+	// modelDiscovery how long after its start an instance asks only these.
+	modelSeeds     = 3
+	modelDiscovery = 5 * time.Second
+)
+
+type modelInstance struct {
+	home  *Home
+	local *Local
+	// side, frozen and down are the faults; hidden has the instances that this one does not
+	// consider alive, since changedAt.
+	side                  int
+	frozen, down, started bool
+	woken                 chan struct{}
+	hidden                map[int]bool
+	changedAt             time.Time
+	startedAt             time.Time
+	homes                 *Homes[int]
+	// joined is set once an instance knows that the others have not just started too.
+	joined atomic.Bool
+}
+
+type quotaModel struct {
+	mu        sync.Mutex
+	random    *rand.Rand
+	begin     time.Time
+	instances []*modelInstance
+	messages  int
+	// sent and allowed have the times of the requests of each tenant that were sent, and of
+	// those that one bucket for all would have let pass.
+	sent, allowed [modelTenants][]time.Duration
+	limits        [modelTenants]Limit
+	usual         [modelTenants]float64
+}
+
+var modelNames = func() (names []string) {
+	for k := range 1000 {
+		names = append(names, fmt.Sprint("instance-", k))
+	}
+	return names
+}()
+
+var errModelLost = errors.New("unreachable")
+
+func newQuotaModel(instances int, seed uint64) *quotaModel {
+	m := &quotaModel{random: rand.New(rand.NewPCG(seed, 5)), begin: time.Now()}
+	harmonic := 0.0
+	for k := range modelTenants {
+		harmonic += 1 / float64(k+1)
+	}
+	for k := range modelTenants {
+		m.usual[k] = modelTotal / harmonic / float64(k+1)
+		rate := max(1, math.Ceil(1.6*m.usual[k]))
+		m.limits[k] = Limit{Rate: rate, Burst: rate, Version: 1}
+	}
+	for range instances {
+		m.instances = append(m.instances, &modelInstance{hidden: make(map[int]bool)})
+	}
+	return m
+}
+
+// start starts the process of an instance.
+func (m *quotaModel) start(i int) {
+	s := Settings{Window: modelWindow, Overage: 0.1, Slack: 20}
+	n := m.instances[i]
+	n.home, n.local, n.started, n.down = NewHome(s), NewLocal(s), true, false
+	n.changedAt, n.startedAt = time.Now(), time.Now()
+	n.local.Instances = func() int {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.isStarting(n) {
+			return 0
+		}
+		return m.known(i)
+	}
+	n.homes = NewHomes(i)
+	n.homes.OnMoved = func() { n.joined.Store(true) }
+	n.homes.Candidates = func() []Candidate[int] { return m.candidates(i) }
+	n.homes.Send = func(ctx context.Context, to int, a Ask, final bool) (Reply[int], error) {
+		if err := m.travel(ctx, i, to); err != nil {
+			return Reply[int]{}, err
+		}
+		if to >= modelSeeds {
+			m.instances[to].joined.Store(true)
+		}
+		reply := Reply[int]{Home: m.homeOf(to, a.Tenant)}
+		if reply.Moved = reply.Home != to && reply.Home >= 0 && !final; !reply.Moved {
+			reply.Grant = m.instances[to].home.Lend(a, m.view(to, a.Tenant), time.Now())
+		}
+		return reply, m.travel(ctx, to, i)
+	}
+	n.local.Ask = n.homes.Ask
+}
+
+// isStarting reports whether an instance asks only the seeds.
+func (m *quotaModel) isStarting(n *modelInstance) bool {
+	return time.Since(n.startedAt) < modelDiscovery && !n.joined.Load()
+}
+
+// known returns the number of instances that an instance counts: those it has seen, also
+// if it has lost them, and at least the seeds. The caller holds mu.
+func (m *quotaModel) known(i int) int {
+	if time.Since(m.instances[i].startedAt) < modelDiscovery {
+		return max(modelSeeds+1, len(m.instances)-len(m.instances[i].hidden))
+	}
+	return len(m.instances)
+}
+
+func (m *quotaModel) homeOf(i int, tenant string) int {
+	home, ok := m.instances[i].homes.Of(tenant)
+	if !ok {
+		return -1
+	}
+	return home
+}
+
+func (m *quotaModel) candidates(i int) (candidates []Candidate[int]) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.instances[i]
+	starting := m.isStarting(n)
+	for k, other := range m.instances {
+		if starting && k < modelSeeds || !starting && other.started && (k == i || !n.hidden[k]) {
+			candidates = append(candidates, Candidate[int]{Peer: k, Name: modelNames[k]})
+		}
+	}
+	return candidates
+}
+
+func (m *quotaModel) view(i int, tenant string) View {
+	isHome := m.homeOf(i, tenant) == i
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := float64(m.known(i))
+	alive := min(known, float64(len(m.instances)-len(m.instances[i].hidden)))
+	return View{Part: alive / known, Alone: 1 / known, IsHome: isHome, Since: m.instances[i].changedAt}
+}
+
+// travel is one way of a message: to a frozen instance or the other side it hangs, and to
+// a dead one it fails.
+func (m *quotaModel) travel(ctx context.Context, from, to int) error {
+	if from == to {
+		return nil
+	}
+	m.mu.Lock()
+	m.messages++
+	a, b := m.instances[from], m.instances[to]
+	down, cut, frozen, woken := !b.started || b.down, a.side != b.side, b.frozen, b.woken
+	delay := []time.Duration{200 * time.Microsecond, 900 * time.Microsecond}[m.random.IntN(2)]
+	m.mu.Unlock()
+	switch {
+	case down:
+		return errModelLost
+	case cut:
+		<-ctx.Done()
+		return ctx.Err()
+	case frozen:
+		<-woken
+	}
+	time.Sleep(delay)
+	return nil
+}
+
+// tick does what an instance does in each TickInterval.
+func (m *quotaModel) tick(i int) {
+	n := m.instances[i]
+	if !n.started || n.down || n.frozen {
+		return
+	}
+	n.home.Tick(func(tenant string) bool { return m.homeOf(i, tenant) == i }, time.Now())
+	n.local.Tick(time.Now())
+	var peers []int
+	for k := range m.instances {
+		if k != i && (time.Since(n.startedAt) >= modelDiscovery || !n.hidden[k]) {
+			peers = append(peers, k)
+		}
+	}
+	go Sample(context.Background(), n.home, peers, func(ctx context.Context, peer int, tenants []string) ([]string, error) {
+		if err := m.travel(ctx, i, peer); err != nil {
+			return nil, err
+		}
+		homes := slices.DeleteFunc(slices.Clone(tenants), func(t string) bool { return m.homeOf(peer, t) != i })
+		return homes, m.travel(ctx, peer, i)
+	})
+}
+
+// notice makes the views follow a change after 1.5 s to 4 s: those chosen by hides do not
+// consider others alive any more, or do again.
+func (m *quotaModel) notice(hides func(viewer, other int) bool) {
+	for i := range m.instances {
+		time.AfterFunc(1500*time.Millisecond+time.Duration(m.random.Int64N(int64(2500*time.Millisecond))), func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			n := m.instances[i]
+			n.hidden, n.changedAt = make(map[int]bool), time.Now()
+			for k := range m.instances {
+				if hides(i, k) {
+					n.hidden[k] = true
+				}
+			}
+		})
+	}
+}
+
+// send sends one request of a tenant to an instance that serves.
+func (m *quotaModel) send(tenant, i int, retries int) {
+	m.mu.Lock()
+	for !m.instances[i].started || m.instances[i].down || m.instances[i].frozen {
+		i = (i + 1) % len(m.instances)
+	}
+	limit, n := m.limits[tenant], m.instances[i]
+	m.mu.Unlock()
+	for range retries + 1 {
+		if _, ok := n.local.Allow(context.Background(), modelName(tenant), limit); ok {
+			m.mu.Lock()
+			m.sent[tenant] = append(m.sent[tenant], time.Since(m.begin))
+			m.mu.Unlock()
+			return
+		}
+	}
+}
+
+func modelName(tenant int) string { return fmt.Sprintf("t%d", tenant) }
+
+// surges reports whether modelSurge sends many times its rate.
+func (c *modelCase) surges(at time.Duration) bool {
+	if c.startsSurging {
+		return at < 8*time.Second
+	}
+	return at >= modelUptime+10*time.Second && at < modelUptime+18*time.Second
+}
+
+// run plays the load of a case.
+func (m *quotaModel) run(c *modelCase) {
+	var running sync.WaitGroup
+	for tenant := range modelTenants {
+		ideal := NewBucket(m.limits[tenant].Rate, m.limits[tenant].Burst, m.limits[tenant].Burst, time.Now())
+		random := rand.New(rand.NewPCG(uint64(tenant), m.random.Uint64()))
+		running.Go(func() {
+			for {
+				now := time.Since(m.begin)
+				rate := m.usual[tenant]
+				if tenant == modelSurge && c.surges(now) {
+					rate *= 7.5
+				}
+				time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+				now = time.Since(m.begin)
+				if now >= modelEnd {
+					return
+				}
+				i := random.IntN(len(m.instances))
+				if c.uneven {
+					i = int(now/time.Second*7919+time.Duration(tenant)*31) % len(m.instances)
+				}
+				if ideal.Take(1, time.Now()) == 1 {
+					m.allowed[tenant] = append(m.allowed[tenant], now)
+				}
+				go m.send(tenant, i, c.retries)
+			}
+		})
+	}
+	go func() {
+		for time.Since(m.begin) < modelEnd {
+			for i := range m.instances {
+				m.tick(i)
+			}
+			time.Sleep(TickInterval)
+		}
+	}()
+	running.Wait()
+	time.Sleep(modelEnd / 10)
+}
+
+// excess returns how far a tenant's requests in any window exceed the bound, as a share of
+// it, from a time on; 1 is the bound.
+func (m *quotaModel) excess(from time.Duration) (worst float64, tenant int) {
+	for k := range modelTenants {
+		bound := (m.limits[k].Rate*modelWindow.Seconds()+m.limits[k].Burst)*1.1 + 20
+		slices.Sort(m.sent[k])
+		first := 0
+		for last, at := range m.sent[k] {
+			for at-m.sent[k][first] > modelWindow || m.sent[k][first] < from && first < last {
+				first++
+			}
+			if share := float64(last-first+1) / bound; at >= from && share > worst {
+				worst, tenant = share, k
+			}
+		}
+	}
+	return worst, tenant
+}
+
+// served returns the share of the requests within the allowances that were sent, over the
+// tenants that do not surge, from one time to another.
+func (m *quotaModel) served(from, to time.Duration) float64 {
+	count := func(times []time.Duration) (n int) {
+		for _, at := range times {
+			if at >= from && at < to {
+				n++
+			}
+		}
+		return n
+	}
+	sent, allowed := 0, 0
+	for k := range modelTenants {
+		if k != modelSurge {
+			sent += min(count(m.sent[k]), count(m.allowed[k]))
+			allowed += count(m.allowed[k])
+		}
+	}
+	return float64(sent) / float64(allowed)
+}
+
+// modelCase is one load with one fault.
+type modelCase struct {
+	name string
+	// uneven sends all requests that a tenant makes in one second to one instance.
+	uneven bool
+	// retries is how often callers retry at once.
+	retries int
+	// startsSurging makes the surge begin with the fleet.
+	startsSurging bool
+	// start starts the instances, fault begins at modelUptime.
+	start, fault func(m *quotaModel)
+	// served is the least share of the requests within the allowances that is sent.
+	served float64
+	// since is when the bound must hold from on.
+	since time.Duration
+}
+
+// Guards against tenants that are sent more than their allowance over all instances, and
+// against refusals of requests within it.
+func TestAllowancesHoldOverAllInstances(t *testing.T) {
+	for _, c := range []modelCase{
+		{name: "one tenant at 7.5 times its rate", served: 0.99},
+		{name: "uneven callers", uneven: true, served: 0.99},
+		{name: "callers that retry three times at once", uneven: true, retries: 3, served: 0.99},
+		{name: "home lost", served: 0.97, fault: func(m *quotaModel) {
+			home := m.homeOf(0, modelName(modelSurge))
+			time.Sleep(12 * time.Second)
+			m.instances[home].down = true
+			m.notice(func(_, other int) bool { return other == home })
+		}},
+		{name: "home frozen for 8 s", served: 0.97, fault: func(m *quotaModel) {
+			home := m.homeOf(0, modelName(modelSurge))
+			n := m.instances[home]
+			time.Sleep(11 * time.Second)
+			m.mu.Lock()
+			n.frozen, n.woken = true, make(chan struct{})
+			m.mu.Unlock()
+			m.notice(func(viewer, other int) bool { return other == home && viewer != home })
+			time.Sleep(8 * time.Second)
+			m.mu.Lock()
+			n.frozen = false
+			close(n.woken)
+			m.mu.Unlock()
+			m.notice(func(int, int) bool { return false })
+		}},
+		{name: "halves cut off from each other", served: 0.9, fault: func(m *quotaModel) {
+			time.Sleep(11 * time.Second)
+			m.mu.Lock()
+			for i, n := range m.instances {
+				n.side = i % 2
+			}
+			m.mu.Unlock()
+			m.notice(func(viewer, other int) bool { return viewer%2 != other%2 })
+			time.Sleep(10 * time.Second)
+			m.mu.Lock()
+			for _, n := range m.instances {
+				n.side = 0
+			}
+			m.mu.Unlock()
+			m.notice(func(int, int) bool { return false })
+		}},
+		{name: "members in dispute", served: 0.97, fault: func(m *quotaModel) {
+			home := m.homeOf(0, modelName(modelSurge))
+			time.Sleep(11 * time.Second)
+			m.notice(func(viewer, other int) bool { return viewer%2 == 0 && other == home && viewer != home })
+		}},
+		{name: "instances added", served: 0.98, fault: func(m *quotaModel) {
+			for i := range m.instances {
+				if i%4 == 1 {
+					m.instances[i].started = false
+				}
+			}
+			time.Sleep(11 * time.Second)
+			m.mu.Lock()
+			for i := range m.instances {
+				if i%4 == 1 {
+					m.start(i)
+				}
+				m.instances[i].hidden = make(map[int]bool)
+				for k := range m.instances {
+					if k%4 == 1 && i%4 != 1 {
+						m.instances[i].hidden[k] = true
+					}
+				}
+			}
+			m.mu.Unlock()
+			m.notice(func(int, int) bool { return false })
+		}},
+		{name: "all started at once", startsSurging: true, served: 0.98, start: func(m *quotaModel) {
+			for i, n := range m.instances {
+				time.AfterFunc(time.Duration(m.random.Int64N(int64(1500*time.Millisecond))), func() {
+					m.mu.Lock()
+					m.start(i)
+					for k := range m.instances {
+						if k != i && k >= modelSeeds {
+							n.hidden[k] = true
+						}
+					}
+					m.mu.Unlock()
+				})
+			}
+			for i, n := range m.instances {
+				time.AfterFunc(3*time.Second+time.Duration(m.random.Int64N(int64(3*time.Second))), func() {
+					m.mu.Lock()
+					defer m.mu.Unlock()
+					m.instances[i].hidden, n.changedAt = make(map[int]bool), time.Now()
+				})
+			}
+		}},
+		{name: "limit lowered far below what is sent", served: 0.98, since: modelUptime + 13*time.Second, fault: func(m *quotaModel) {
+			time.Sleep(12 * time.Second)
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.limits[modelSurge] = Limit{Rate: 3, Burst: 1, Version: 2}
+		}},
+	} {
+		for _, instances := range []int{31, 300} {
+			t.Run(fmt.Sprintf("%s/%d", c.name, instances), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					m := newQuotaModel(instances, 1)
+					if c.start != nil {
+						c.start(m)
+						time.Sleep(300 * time.Millisecond)
+						m.begin = time.Now()
+					} else {
+						for i := range m.instances {
+							m.start(i)
+						}
+					}
+					if c.fault != nil {
+						go func() {
+							time.Sleep(modelUptime)
+							c.fault(m)
+						}()
+					}
+					m.run(&c)
+
+					excess, tenant := m.excess(c.since)
+					served := m.served(modelUptime, modelEnd)
+					t.Logf("at most %.2f of the bound (tenant %d), served %.4f within the allowances, %d messages a second", excess, tenant, served, m.messages/int(modelEnd/time.Second))
+					if excess > 1 || served < c.served {
+						t.Errorf("%.2f of the bound, %.4f served, want at most 1 and at least %.2f", excess, served, c.served)
+					}
+				})
+			})
+		}
+	}
+}
