Keep tenants' allowances over all instances and share scarce capacity

Cause: tenants with ratePerS and burst were not bounded, and one tenant could take the capacity of others. Change: frames quota and quota-homes, wiring in gateway_quota.go, web.Server.Allow, turns of tenants in balance, credit by tenant in admission, tenant in Gather, metrics, /tenants, lentilctl tenants.

--- a/lentilctl/operator_commands.go
+++ b/lentilctl/operator_commands.go
@@ -25,6 +25,7 @@
 	registerServiceCommands(app, &c, timeout, setAction, addInstanceFlag, addChangeFlags)
 	registerTopologyCommands(app, &c, timeout, setAction, addInstanceFlag, addChangeFlags)
 	registerStateCommands(app, &c, timeout, setAction, addInstanceFlag)
+	registerTenantCommands(app, timeout, setAction)
 }
 
 func registerServiceCommands(app *kingpin.Application, c *operator.Client, timeout *time.Duration, setAction actionSetter, addInstanceFlag, addChangeFlags func(*kingpin.CmdClause)) {
--- a/lentilward/admission/limit.go
+++ b/lentilward/admission/limit.go
@@ -99,6 +99,8 @@
 	free bool
 	// routes has what is measured of each route.
 	routes map[string]*measuredRoute
+	// tenants has the measured rates of the tenants.
+	tenants map[string]*tenantRates
 	// Jitter returns a random duration below its argument.
 	Jitter func(time.Duration) time.Duration
 	// OnLimit is called when the limit is set, with its value, and when it is dropped. It
@@ -120,14 +122,14 @@
 // New returns a Limit that permits every search.
 func New() *Limit {
 	return &Limit{
-		limit: math.Inf(1), free: true, routes: make(map[string]*measuredRoute),
+		limit: math.Inf(1), free: true, routes: make(map[string]*measuredRoute), tenants: make(map[string]*tenantRates),
 		Jitter: rand.N[time.Duration], OnLimit: func(bool, float64) {},
 	}
 }
 
-// Admit reports whether to run a search on a route, and otherwise when the caller
-// should try again.
-func (a *Limit) Admit(route string, priority int, now time.Time) (retryAfter time.Duration, ok bool) {
+// AdmitFor reports whether to run a search of a tenant on a route, and otherwise when the
+// caller should try again.
+func (a *Limit) AdmitFor(tenant Tenant, route string, priority int, now time.Time) (retryAfter time.Duration, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.advance(now)
@@ -141,14 +143,21 @@
 	r.offered += perSecond
 	a.offered += perSecond
 	a.highestOffered = max(a.highestOffered, a.offered)
+	t := a.ensureTenant(tenant.Name)
+	if t != nil {
+		t.offered += perSecond
+	}
 	if !math.IsInf(a.limit, 1) {
-		if a.credit < 1+creditPerRank*float64(rank) {
+		if a.credit < 1+creditPerRank*float64(rank)+a.tenantCredit(t, tenant.Use) {
 			return minOverloadRetry + a.Jitter(maxOverloadRetry-minOverloadRetry), false
 		}
 		a.credit -= cost
 	}
 	r.admitted += perSecond
 	a.rate += perSecond
+	if t != nil {
+		t.admitted += perSecond
+	}
 	return 0, true
 }
 
@@ -203,6 +212,7 @@
 		r.admitted *= decay
 		r.offered *= decay
 	}
+	a.decayTenants(decay)
 	if math.IsInf(a.limit, 1) {
 		a.credit, a.highestOffered = maxCredit, a.offered
 		return
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -18,6 +18,7 @@
 
 	mu      sync.Mutex
 	waiters []*Waiter
+	turns   tenantTurns
 }
 
 // NewService returns a service without servers.
@@ -170,14 +171,21 @@
 }
 
 // Waiter is a request that waits for a slot on a server. Waiters with a smaller
-// Priority go first, and of these the ones that can still meet their target.
+// Priority go first, of these the ones that can still meet their target, and of these each
+// tenant in turn.
 type Waiter struct {
 	Priority int
+	// Tenant is the sender of the request; empty if it has none. Use is what the tenant asks
+	// for over all instances as a share of its allowance; 0 if that is not known.
+	Tenant string
+	Use    float64
 	// TargetAt is until when a reply helps to meet the target latency.
 	TargetAt time.Time
 	Deadline time.Time
 	// Wake is called once a slot may be free. It must not block.
 	Wake func()
+	// addedIn is the turn in which the waiter was added.
+	addedIn float64
 }
 
 // before reports whether a waiter precedes another: by priority, then by deadline.
@@ -192,6 +200,7 @@
 func (s *Service) AddWaiter(w *Waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	w.addedIn = s.turns.current
 	i, _ := slices.BinarySearchFunc(s.waiters, w, func(a, b *Waiter) int {
 		if a.before(b) {
 			return -1
@@ -208,6 +217,8 @@
 	i := slices.Index(s.waiters, w)
 	if i >= 0 {
 		s.waiters = slices.Delete(s.waiters, i, i+1)
+	} else {
+		s.turns.giveBack(w)
 	}
 	s.mu.Unlock()
 	if i < 0 {
@@ -216,29 +227,33 @@
 }
 
 // nextWaiter returns the index of the waiter to wake next: of those with the highest
-// priority the first that can still meet its target, or else the first. The caller
-// holds mu.
+// priority the ones that can still meet their target, or else all, and of these the first
+// whose turn it is. The caller holds mu.
 func (s *Service) nextWaiter(now time.Time) int {
+	best, bestMeets, bestTurn := -1, false, 0.0
 	for i, w := range s.waiters {
 		if w.Priority != s.waiters[0].Priority {
 			break
 		}
-		if w.TargetAt.After(now) {
-			return i
+		meets, turn := w.TargetAt.After(now), s.turns.turn(w)
+		if best < 0 || meets && !bestMeets || meets == bestMeets && turn < bestTurn {
+			best, bestMeets, bestTurn = i, meets, turn
 		}
 	}
-	return 0
+	return best
 }
 
 // wakeNext removes the next waiter from the queue and wakes it.
 func (s *Service) wakeNext() {
 	s.mu.Lock()
 	if len(s.waiters) == 0 {
+		s.turns.reset()
 		s.mu.Unlock()
 		return
 	}
 	i := s.nextWaiter(time.Now())
 	w := s.waiters[i]
+	s.turns.take(w)
 	s.waiters = slices.Delete(s.waiters, i, i+1)
 	s.mu.Unlock()
 	w.Wake()
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -60,6 +60,7 @@
 	engine       *scatter.Engine
 	metrics      *monitor.Metrics
 	fleet        *fleetSize
+	allowances   *allowances
 	// connecting has the addresses of the peers that connectPeer is connecting to.
 	connecting sync.Map
 	// peersCheckedAt is when checkPeers has last pinged the peers.
@@ -83,6 +84,7 @@
 	g.connectPeers()
 	g.connectDirectory()
 	g.connectCallers()
+	g.connectAllowances()
 	g.applySettings()
 	return g
 }
@@ -98,6 +100,7 @@
 	g.directory.SetRetryBudget(balance.RetryBudget{
 		Ratio: o.RetryBudget.Ratio, Slack: o.RetryBudget.Slack, Window: time.Duration(o.RetryBudget.Window),
 	})
+	g.allowances.setSettings(o.quotaSettings())
 	g.engine.SetPolicy(scatter.Policy{
 		Hedge: o.Search.Hedge, EarlyAnswer: o.Search.EarlyAnswer, AnswerMargin: time.Duration(o.Search.AnswerMargin),
 	})
@@ -283,6 +286,7 @@
 		if r.Refusal != nil {
 			g.metrics.RecordRefusal(r.Refusal.Reason, r.Refusal.Outcome)
 		}
+		g.allowances.recordResult(r)
 	}
 	g.metrics.RegisterGauge("lentilward_limited_searches", "Sets of shards whose searches are limited because the servers are overloaded.",
 		func() float64 { return float64(g.directory.LimitedSearches(time.Now())) })
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -24,7 +24,7 @@
 	callers := g.callers.HTTP()
 	peers := &http.Server{Handler: g.peers.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	monitors := &http.Server{Handler: monitor.Handler(g.board, g.metrics), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	monitors := &http.Server{Handler: monitor.WithTenants(monitor.Handler(g.board, g.metrics), g.allowances.status), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	failed := make(chan error, 4)
 	callerListener, err := g.listen(o.Listen.HTTP)
 	if err != nil {
@@ -52,6 +52,7 @@
 	go g.follower.Run(processCtx)
 	go g.keepRegistered(registered)
 	go g.poisonWriter.Run(processCtx)
+	go g.allowances.run(processCtx)
 	go g.transferState(processCtx)
 	go g.awaitReady(processCtx)
 	select {
--- a/lentilward/monitor/metrics.go
+++ b/lentilward/monitor/metrics.go
@@ -32,6 +32,7 @@
 	labeledCallers sync.Map
 	labeledCount   int
 	mu             sync.Mutex
+	tenants        tenantMetrics
 }
 
 // histogramKey identifies the histogram of one caller and class.
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -16,6 +16,7 @@
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/memory"
+	"lentilward.org/lentilward/quota"
 	"lentilward.org/lentilward/scatter"
 )
 
@@ -46,15 +47,22 @@
 	// Gather runs part of a search for a peer, and passes each partial result to
 	// emit.
 	Gather func(ctx context.Context, g scatter.Gather, emit func(scatter.Partial))
+	// LendQuota answers a request for tokens of a tenant. QuotaHomes returns the instances
+	// that this one considers the homes of tenants.
+	LendQuota  func(a quota.Ask, final bool) QuotaReply
+	QuotaHomes func(tenants []string) []netip.AddrPort
 }
 
 // NewServer returns a server. Its function fields must be set before it serves;
-// Records and Gather have defaults that return nothing.
+// Records, Gather, LendQuota and QuotaHomes have defaults that return nothing.
 func NewServer(board *blackboard.Board, permits *Permits, traffic *Traffic, log *slog.Logger) *Server {
 	return &Server{
 		board: board, permits: permits, traffic: traffic, log: log,
 		Records: func(uint64) RecordsReply { return RecordsReply{} },
 		Gather:  func(context.Context, scatter.Gather, func(scatter.Partial)) {},
+
+		LendQuota:  func(quota.Ask, bool) QuotaReply { return QuotaReply{} },
+		QuotaHomes: func([]string) []netip.AddrPort { return nil },
 	}
 }
 
@@ -178,6 +186,8 @@
 			s.MergeSuspects(b.Suspects)
 			return struct{}{}, nil
 		})
+	case kindQuota, kindHomes:
+		return s.dispatchQuota(f)
 	}
 	s.traffic.MalformedFrames.Add(1)
 	return nil, merry.Errorf("unknown frame kind %q", f.Kind)
--- a/lentilward/quota/home.go
+++ b/lentilward/quota/home.go
@@ -198,8 +198,11 @@
 // detectFreeze drops all buckets if the process did not run for a while: another home may
 // have lent the tokens meanwhile. The caller holds mu.
 func (h *Home) detectFreeze(now time.Time) {
+	if h.lastTick.IsZero() {
+		return
+	}
 	suspended := h.Suspended()
-	if !h.lastTick.IsZero() && now.Sub(h.lastTick) >= frozenGap || suspended-h.suspended >= suspendedGap {
+	if now.Sub(h.lastTick) >= frozenGap || suspended-h.suspended >= suspendedGap {
 		h.OnFrozen(len(h.lenders))
 		h.lenders, h.since = make(map[string]*lender), now
 	}
@@ -211,6 +214,9 @@
 func (h *Home) Tick(isHome func(tenant string) bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.lastTick.IsZero() {
+		h.lastTick, h.suspended = now, h.Suspended()
+	}
 	h.detectFreeze(now)
 	for tenant, l := range h.lenders {
 		if now.Sub(l.askedAt) >= idlePeriod {
--- a/lentilward/quota/local.go
+++ b/lentilward/quota/local.go
@@ -64,10 +64,10 @@
 	// tokenAt is when the home has a token again. It is asked again at deniedUntil, and at
 	// unreachableUntil after it did not reply.
 	tokenAt, deniedUntil, unreachableUntil time.Time
-	lost                          bool
-	asking                        bool
-	askedAt, requestedAt          time.Time
-	waiting                       int
+	lost                                   bool
+	asking                                 bool
+	askedAt, requestedAt                   time.Time
+	waiting                                int
 	// changed is closed when an Ask has ended.
 	changed chan struct{}
 	demand  average
@@ -262,7 +262,8 @@
 		t.leases = append(t.leases, lease{tokens: g.Granted, end: askedAt.Add(g.Term)})
 		return
 	}
-	if g.RetryAfter > 0 {
+	// The home does not know yet of what has been returned meanwhile.
+	if g.RetryAfter > 0 && t.returned == 0 {
 		t.tokenAt = now.Add(g.RetryAfter)
 		t.deniedUntil = now.Add(min(g.RetryAfter, maxDenial))
 	}
@@ -300,12 +301,14 @@
 	return 0, true
 }
 
-// Refund gives back the token of a request that was refused before anything was sent.
+// Refund gives back the token of a request that was refused before anything was sent. The
+// home has a token then, so that it is asked again.
 func (l *Local) Refund(tenant string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if t := l.tenants[tenant]; t != nil {
 		t.returned++
+		t.deniedUntil = time.Time{}
 	}
 }
 
--- a/lentilward/quota/sample.go
+++ b/lentilward/quota/sample.go
@@ -11,15 +11,17 @@
 	// sampleSize bounds the peers that are asked in a TickInterval, so that the number of
 	// messages does not grow with the fleet.
 	sampleSize = 16
-	// sampleTimeout bounds one question. An instance that does not reply may use its share.
-	sampleTimeout = 200 * time.Millisecond
+	// sampleTimeout bounds the replies to one round of questions. An instance that does not
+	// reply may use its share.
+	sampleTimeout = 120 * time.Millisecond
 )
 
-// Sample asks some of the peers, and those lost recently, which of the tenants that are
-// short consider this instance their home, and lends only the part of those that do. So
-// the parts that several homes of one tenant lend add up to about the whole. ask returns
-// the tenants of which the peer considers this instance the home.
-func Sample[P any](ctx context.Context, h *Home, peers []P, ask func(ctx context.Context, peer P, tenants []string) ([]string, error)) {
+// Sample asks some of the peers, and those lost recently, which instance is the home of
+// each tenant that is short, and lends only the part of those that name this one. So the
+// parts that several homes of one tenant lend add up to about the whole. Peers that name an
+// instance that itself names this one count too, since it passes their questions on. ask
+// returns the homes of tenants in the same order.
+func Sample[P comparable](ctx context.Context, h *Home, self P, peers []P, ask func(ctx context.Context, peer P, tenants []string) ([]P, error)) {
 	tenants := h.Short(time.Now())
 	if len(tenants) == 0 {
 		return
@@ -28,33 +30,65 @@
 	peers = slices.Clone(peers)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	peers = peers[:min(len(peers), sampleSize)]
+	replies := askAll(ctx, peers, tenants, ask)
+	var others []P
+	for _, homes := range replies {
+		for _, home := range homes {
+			if _, asked := replies[home]; home != self && !asked && !slices.Contains(others, home) && len(others) < sampleSize {
+				others = append(others, home)
+			}
+		}
+	}
+	forwarders := askAll(ctx, others, tenants, ask)
+	for _, p := range peers {
+		if homes, ok := replies[p]; ok {
+			forwarders[p] = homes
+		}
+	}
+	for i, tenant := range tenants {
+		agreed := 0
+		for _, homes := range replies {
+			if homes[i] == self {
+				agreed++
+			} else if next, ok := forwarders[homes[i]]; ok && next[i] == self {
+				agreed++
+			}
+		}
+		part := 1.0
+		if len(peers) > 0 {
+			part = (1 + float64(known-1)*float64(agreed)/float64(len(peers))) / float64(known)
+		}
+		h.SetSample(tenant, part, time.Now())
+	}
+}
+
+// askAll asks all peers at once and returns the replies that arrive in time.
+func askAll[P comparable](ctx context.Context, peers []P, tenants []string, ask func(ctx context.Context, peer P, tenants []string) ([]P, error)) map[P][]P {
 	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
-	replies := make(chan []string, len(peers))
+	type reply struct {
+		peer  P
+		homes []P
+	}
+	received := make(chan reply, len(peers))
 	for _, p := range peers {
 		go func() {
 			homes, err := ask(ctx, p, tenants)
-			if err != nil {
+			if err != nil || len(homes) != len(tenants) {
 				homes = nil
 			}
-			replies <- homes
+			received <- reply{p, homes}
 		}()
 	}
-	agreed := make(map[string]int)
+	replies := make(map[P][]P)
 	for range peers {
 		select {
-		case homes := <-replies:
-			for _, tenant := range homes {
-				agreed[tenant]++
+		case r := <-received:
+			if r.homes != nil {
+				replies[r.peer] = r.homes
 			}
 		case <-ctx.Done():
 		}
 	}
-	for _, tenant := range tenants {
-		part := 1.0
-		if len(peers) > 0 {
-			part = (1 + float64(known-1)*float64(agreed[tenant])/float64(len(peers))) / float64(known)
-		}
-		h.SetSample(tenant, part, time.Now())
-	}
+	return replies
 }
--- a/lentilward/scatter/delegate.go
+++ b/lentilward/scatter/delegate.go
@@ -141,7 +141,7 @@
 func (r *run) startGather(gatherer netip.AddrPort, parts []int, hedgeAfter time.Duration, now time.Time) bool {
 	route := r.task.Route
 	g := Gather{
-		Request: r.task.Request, Route: route.Name, Rank: r.task.priority(), Results: route.MaxRecords,
+		Request: r.task.Request, Route: route.Name, Rank: r.task.priority(), Tenant: r.task.tenantName(), Results: route.MaxRecords,
 		HedgeAfter: hedgeAfter, TimeLeft: r.deadline.Sub(now),
 	}
 	for _, i := range parts {
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -41,6 +41,9 @@
 	// BudgetShare returns this instance's share of the slack of the retry budget
 	// that all instances use together.
 	BudgetShare func() float64
+	// TenantUse returns what a tenant asks for over all instances as a share of its
+	// allowance; nil if that is not known of any.
+	TenantUse func(tenant string) float64
 	// ChooseGatherer picks a gatherer: an instance in one of the given data
 	// centres. parts has the number of parts with a server in each data centre.
 	// ok is false if there is none.
--- a/lentilward/scatter/gather.go
+++ b/lentilward/scatter/gather.go
@@ -13,9 +13,11 @@
 // Gather asks a gatherer, an instance near the servers, for parts of a search. The
 // gatherer calls one server of each service; the requester hedges and retries.
 type Gather struct {
-	Request  *domain.Request
-	Route    string
-	Rank     int
+	Request *domain.Request
+	Route   string
+	Rank    int
+	// Tenant is the name of the tenant; empty if the request has none.
+	Tenant   string `cbor:",omitempty"`
 	Results  int
 	Services []string
 	// HedgeAfter is the time after which the gatherer reports the parts that are
@@ -62,7 +64,7 @@
 	defer hold.Release()
 	request := *g.Request
 	request.TimeLeft = g.TimeLeft
-	r := newRun(ctx, e, Task{Request: &request, Route: route, State: state, Admission: admission, Services: services, Begin: begin, Hold: hold})
+	r := newRun(ctx, e, Task{Request: &request, Route: route, Tenant: gatherTenant(g.Tenant), State: state, Admission: admission, Services: services, Begin: begin, Hold: hold})
 	defer r.finish()
 	r.gather(ctx, begin.Add(g.HedgeAfter), emit)
 }
--- a/lentilward/scatter/launch.go
+++ b/lentilward/scatter/launch.go
@@ -39,7 +39,8 @@
 		r.close(p)
 	default:
 		r.stats.Queued++
-		p.waiter = &balance.Waiter{Priority: r.task.priority(), TargetAt: r.earlyAnswerAt, Deadline: r.deadline, Wake: func() {
+		tenant := r.tenant()
+		p.waiter = &balance.Waiter{Priority: r.task.priority(), Tenant: tenant.Name, Use: tenant.Use, TargetAt: r.earlyAnswerAt, Deadline: r.deadline, Wake: func() {
 			select {
 			case r.wokenParts <- i:
 			default:
--- a/lentilward/scatter/load.go
+++ b/lentilward/scatter/load.go
@@ -16,7 +16,7 @@
 	if !r.reportsLoad() {
 		return nil
 	}
-	retryAfter, ok := r.task.Admission.Admit(r.task.Route.Name, r.task.priority(), now)
+	retryAfter, ok := r.task.Admission.AdmitFor(r.tenant(), r.task.Route.Name, r.task.priority(), now)
 	if ok {
 		return nil
 	}
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -66,14 +66,19 @@
 	// lost during a request that failed.
 	IsPoison          func(*domain.Request) bool
 	RecordServersLost func(r *domain.Request, servers int)
+	// Allow reports whether a tenant may send a request, and otherwise when it may. nil
+	// allows all.
+	Allow func(ctx context.Context, tenant *domain.Tenant) (retryAfter time.Duration, ok bool)
 	// OnRequestEnd is called after each request.
 	OnRequestEnd func(RequestResult)
 }
 
-// RequestResult describes how a request ended: its route, duration and cost, and
-// the refusal, or nil if it was answered.
+// RequestResult describes how a request ended: its route, tenant, duration and cost, and
+// the refusal, or nil if it was answered. Tenant is nil if the request has none, or was
+// refused before the tenant was allowed to send it.
 type RequestResult struct {
 	Route    string
+	Tenant   *domain.Tenant
 	Duration time.Duration
 	Stats    scatter.Stats
 	Refusal  *domain.Refusal
@@ -207,11 +212,14 @@
 // handle validates a request, refuses it if it is a poison request, and runs it.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request, request *domain.Request, snapshot *directory.Snapshot, replies *memory.Hold, started time.Time) (*domain.Answer, RequestResult) {
 	task, refusal := s.admit(w, r, request, snapshot, started)
+	if refusal == nil {
+		refusal = s.checkAllowance(r.Context(), task.Tenant)
+	}
 	if refusal != nil {
 		return nil, RequestResult{Duration: time.Since(started), Refusal: refusal}
 	}
 	if s.IsPoison(request) {
-		return nil, RequestResult{Route: task.Route.Name, Duration: time.Since(started), Refusal: &domain.Refusal{
+		return nil, RequestResult{Route: task.Route.Name, Tenant: task.Tenant, Duration: time.Since(started), Refusal: &domain.Refusal{
 			Reason: domain.Poison, Outcome: domain.Unknown,
 			Message: "connections to backend servers were lost during earlier runs of this request",
 		}}
@@ -221,7 +229,7 @@
 	if refusal != nil && stats.ConnectionsLost > 0 {
 		s.RecordServersLost(request, stats.ConnectionsLost)
 	}
-	return answer, RequestResult{Route: task.Route.Name, Duration: time.Since(started), Stats: stats, Refusal: refusal}
+	return answer, RequestResult{Route: task.Route.Name, Tenant: task.Tenant, Duration: time.Since(started), Stats: stats, Refusal: refusal}
 }
 
 // admit validates a request, reads its body and selects its route and services.
