--- a/lentilward/gateway_quota.go
+++ b/lentilward/gateway_quota.go
@@ -210,7 +210,8 @@
 // known returns the number of instances that may serve: those seen in the last
 // lostMemberPeriod, this one included, or the seeds if these are more.
 func (a *allowances) known() int {
-	seeds := len(a.gateway.seedAddresses()) + 1
+	// The settings and the store often list the same instances.
+	seeds := len(lo.Uniq(a.gateway.seedAddresses())) + 1
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return max(1, len(a.lastSeen), seeds)
@@ -233,7 +234,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case <-tick.C:
+			now := time.Now()
 			if a.hasLimits() {
 				a.recordMembers(now)
 			}
--- a/lentilward/quota/home.go
+++ b/lentilward/quota/home.go
@@ -18,6 +18,8 @@
 	// wholePart is the part of the instances from which on a home lends everything. The
 	// others use at most the rest of the rate, which half of the overage covers.
 	wholePart = 0.93
+	// smallTenantHomes is the number of homes of a small tenant that may lend everything.
+	smallTenantHomes = 3
 	// shortUse is the share of its rate from which on a tenant may use up what is lent.
 	shortUse = 0.5
 	// minBucketSize lets a tenant send whole requests.
@@ -183,7 +185,7 @@
 	part := v.Part
 	switch {
 	case !h.settings.needsSample(l.limit):
-		return 1
+		return min(1, smallTenantHomes*v.Part)
 	case !l.sampledAt.IsZero() && now.Sub(l.sampledAt) < sampleTTL:
 		part = min(part, l.part)
 	case l.unsure:
@@ -245,8 +247,9 @@
 	return tenants
 }
 
-// needsSample reports whether other homes of a tenant at the same time could exceed the
-// slack. Of smaller tenants each home lends everything.
+// needsSample reports whether smallTenantHomes homes of a tenant at the same time could
+// exceed the slack. Of smaller tenants each home lends everything if it reaches enough
+// instances.
 func (s Settings) needsSample(l Limit) bool {
 	return l.Rate*s.Window.Seconds()+l.Burst > s.homeStart()
 }
