Read the model's count of messages under its lock

Cause: the race detector reported a read of the count by the test while a late reply was counted. Change: the count is read under the lock of the model.

--- a/lentilward/quota/model_test.go
+++ b/lentilward/quota/model_test.go
@@ -325,6 +325,13 @@
 	time.Sleep(modelEnd / 10)
 }
 
+// messagesPerSecond returns the number of messages that were sent, replies included.
+func (m *quotaModel) messagesPerSecond() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.messages / int(modelEnd/time.Second)
+}
+
 // excess returns how far a tenant's requests in any window exceed the bound, as a share of
 // it, from a time on; 1 is the bound.
 func (m *quotaModel) excess(from time.Duration) (worst float64, tenant int) {
@@ -513,7 +520,7 @@
 
 					excess, tenant := m.excess(c.since)
 					served, surging := m.served(modelUptime, modelEnd)
-					t.Logf("at most %.2f of the bound (tenant %d), served %.4f within the allowances (surging tenant %.2f), %d messages a second", excess, tenant, served, surging, m.messages/int(modelEnd/time.Second))
+					t.Logf("at most %.2f of the bound (tenant %d), served %.4f within the allowances (surging tenant %.2f), %d messages a second", excess, tenant, served, surging, m.messagesPerSecond())
 					if c.fault == nil && surging < 0.97 {
 						t.Errorf("%.2f of the surging tenant's requests within its allowance served", surging)
 					}
@@ -535,7 +542,7 @@
 				m.start(i)
 			}
 			m.run(&modelCase{})
-			perSecond := m.messages / int(modelEnd/time.Second)
+			perSecond := m.messagesPerSecond()
 			t.Logf("%d instances: %d messages a second, replies included", instances, perSecond)
 			if perSecond > 400 {
 				t.Errorf("%d instances send %d messages a second", instances, perSecond)
