Ask seeds while an instance discovers its peers, and wait longer for silent homes

Cause: an instance that had just been restarted took itself for the home among the few members it knew; a home that stays silent was asked every 2 s, with the fallback in use meanwhile. The log line of a request names the tenant.

--- a/lentilward/gateway_quota.go
+++ b/lentilward/gateway_quota.go
@@ -65,6 +65,7 @@
 	}
 	a.homes = quota.NewHomes(a.self)
 	a.homes.Candidates = a.candidates
+	a.homes.Seeds = a.seeds
 	a.homes.Send = a.send
 	a.homes.OnMoved = func() { a.joined.Store(true) }
 	a.local.Ask = a.homes.Ask
@@ -141,21 +142,17 @@
 	a.gateway.metrics.RecordTenantResult(r.Tenant.Name, result)
 }
 
-// isStarting reports whether this instance may have been started together with all others,
-// so that it knows few of them. It then asks only the seeds in the settings, which all
-// others know too.
+// isStarting reports whether this instance may have been started together with all others.
+// The homes are then the seeds in the settings, which all of them know.
 func (a *allowances) isStarting() bool {
 	return time.Since(a.gateway.fleet.started) < discoveryPeriod && !a.joined.Load() && len(a.gateway.options.Load().Peers) > 0
 }
 
 func (a *allowances) candidates() []quota.Candidate[netip.AddrPort] {
-	var candidates []quota.Candidate[netip.AddrPort]
 	if a.isStarting() {
-		for _, address := range a.gateway.options.Load().Peers {
-			candidates = append(candidates, quota.Candidate[netip.AddrPort]{Peer: address, Name: address.String()})
-		}
-		return candidates
+		return a.seeds()
 	}
+	var candidates []quota.Candidate[netip.AddrPort]
 	members := a.gateway.board.Members.Load()
 	for _, m := range members.List {
 		if m.Name == members.Self || m.State == blackboard.Alive || m.State == blackboard.Suspected {
@@ -165,6 +162,17 @@
 	return candidates
 }
 
+// seeds returns the instances that are asked first in the time in which this one discovers
+// its peers. A home that it found among few members would be its own.
+func (a *allowances) seeds() []quota.Candidate[netip.AddrPort] {
+	if time.Since(a.gateway.fleet.started) >= discoveryPeriod {
+		return nil
+	}
+	return lo.Map(a.gateway.options.Load().Peers, func(address netip.AddrPort, _ int) quota.Candidate[netip.AddrPort] {
+		return quota.Candidate[netip.AddrPort]{Peer: address, Name: address.String()}
+	})
+}
+
 // send asks an instance for tokens.
 func (a *allowances) send(ctx context.Context, to netip.AddrPort, ask quota.Ask, final bool) (peer.QuotaReply, error) {
 	if to == a.self {
--- a/lentilward/quota/homes.go
+++ b/lentilward/quota/homes.go
@@ -13,8 +13,11 @@
 	// attemptTimeout bounds one question to a home. A home with a small share of a core may
 	// be late by 100 ms.
 	attemptTimeout = 200 * time.Millisecond
-	// silentPeriod is how long a home that did not reply is passed over.
-	silentPeriod = 2 * time.Second
+	// silentPeriod is how long a home that did not reply is passed over. It doubles up to
+	// maxSilentPeriod while the home does not reply when it is asked again, since all its
+	// tenants use the fallback meanwhile.
+	silentPeriod    = 2 * time.Second
+	maxSilentPeriod = 8 * time.Second
 	// maxAttempts bounds the instances that are asked for one Ask.
 	maxAttempts = 4
 )
@@ -33,6 +36,9 @@
 type Homes[P comparable] struct {
 	// Candidates returns the instances that are alive.
 	Candidates func() []Candidate[P]
+	// Seeds returns the instances that are asked first while this one has just started and
+	// may know few members; they name the home.
+	Seeds func() []Candidate[P]
 	// Send asks an instance. A final question is answered by the one that gets it; others
 	// may be answered with the home that it knows.
 	Send func(ctx context.Context, to P, a Ask, final bool) (Reply[P], error)
@@ -41,7 +47,13 @@
 
 	self   P
 	mu     sync.Mutex
-	silent map[P]time.Time
+	silent map[P]silence
+}
+
+// silence is for how long an instance that did not reply is passed over.
+type silence struct {
+	until  time.Time
+	period time.Duration
 }
 
 // Reply is the reply to a question: a Grant, or Moved and the home to ask.
@@ -53,17 +65,31 @@
 
 // NewHomes returns the homes as the instance self sees them.
 func NewHomes[P comparable](self P) *Homes[P] {
-	return &Homes[P]{OnMoved: func() {}, self: self, silent: make(map[P]time.Time)}
+	return &Homes[P]{Seeds: func() []Candidate[P] { return nil }, OnMoved: func() {}, self: self, silent: make(map[P]silence)}
 }
 
 // Of returns the home of a tenant, and false if no candidate has replied lately.
-func (f *Homes[P]) Of(tenant string) (home P, ok bool) {
+func (f *Homes[P]) Of(tenant string) (home P, ok bool) { return f.first(tenant, f.Candidates()) }
+
+// choose returns the instance to ask about a tenant.
+func (f *Homes[P]) choose(tenant string) (to P, ok bool) {
+	if seeds := f.Seeds(); len(seeds) > 0 {
+		if to, ok := f.first(tenant, seeds); ok {
+			return to, true
+		}
+	}
+	return f.Of(tenant)
+}
+
+// first returns the first of the candidates in rendezvous hashing order that has replied
+// lately.
+func (f *Homes[P]) first(tenant string, candidates []Candidate[P]) (home P, ok bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	bestHash := uint64(0)
-	for _, c := range f.Candidates() {
-		if until, silent := f.silent[c.Peer]; silent && now.Before(until) && c.Peer != f.self {
+	for _, c := range candidates {
+		if now.Before(f.silent[c.Peer].until) && c.Peer != f.self {
 			continue
 		}
 		if hash := xxhash.Sum64String(c.Name + "\x00quota\x00" + tenant); !ok || hash > bestHash {
@@ -82,24 +108,25 @@
 // Ask asks the home of a tenant. It follows the answers of instances that know another
 // home, and passes over those that do not reply.
 func (f *Homes[P]) Ask(ctx context.Context, a Ask) (Grant, error) {
-	to, ok := f.Of(a.Tenant)
+	to, ok := f.choose(a.Tenant)
 	final, err := false, ErrNoHome
 	for attempt := 0; ok && attempt < maxAttempts; attempt++ {
 		final = final || attempt == maxAttempts-1
 		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 		reply, failure := f.Send(attemptCtx, to, a, final)
 		cancel()
+		if failure == nil {
+			f.recordReply(to)
+		}
 		switch {
 		case failure != nil && to == f.self:
 			return Grant{}, failure
 		case failure != nil:
 			err = failure
-			f.mu.Lock()
-			f.silent[to] = time.Now().Add(silentPeriod)
-			f.mu.Unlock()
+			f.recordSilence(to)
 			// What is reported may have arrived.
 			a.Returned, a.Demand = 0, 0
-			to, ok = f.Of(a.Tenant)
+			to, ok = f.choose(a.Tenant)
 			final = false
 		case reply.Moved && f.isSilent(reply.Home):
 			// The two disagree about whether the home is alive; the one that replies lends.
@@ -120,5 +147,29 @@
 func (f *Homes[P]) isSilent(p P) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Now().Before(f.silent[p])
+	return time.Now().Before(f.silent[p].until)
+}
+
+// recordSilence records that an instance did not reply.
+func (f *Homes[P]) recordSilence(p P) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	s := f.silent[p]
+	switch {
+	case now.Before(s.until):
+		return
+	case now.Sub(s.until) > maxSilentPeriod:
+		s.period = silentPeriod
+	default:
+		s.period = min(2*s.period, maxSilentPeriod)
+	}
+	s.until = now.Add(s.period)
+	f.silent[p] = s
+}
+
+func (f *Homes[P]) recordReply(p P) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.silent, p)
 }
--- a/lentilward/quota/model_test.go
+++ b/lentilward/quota/model_test.go
@@ -103,6 +103,14 @@
 	n.homes = NewHomes(i)
 	joined := n.joined
 	n.homes.OnMoved = func() { joined.Store(true) }
+	n.homes.Seeds = func() []Candidate[int] {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if time.Since(n.startedAt) >= modelDiscovery {
+			return nil
+		}
+		return seedCandidates()
+	}
 	n.homes.Candidates = func() []Candidate[int] { return m.candidates(i) }
 	n.homes.Send = func(ctx context.Context, to int, a Ask, final bool) (Reply[int], error) {
 		if err := m.travel(ctx, i, to); err != nil {
@@ -154,15 +162,35 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := m.instances[i]
-	starting := m.isStarting(n)
+	if m.isStarting(n) {
+		return seedCandidates()
+	}
 	for k, other := range m.instances {
-		if starting && k < modelSeeds || !starting && other.started && (k == i || !n.hidden[k]) {
+		if other.started && (k == i || !n.hidden[k]) {
 			candidates = append(candidates, Candidate[int]{Peer: k, Name: modelNames[k]})
 		}
 	}
 	return candidates
 }
 
+func seedCandidates() (seeds []Candidate[int]) {
+	for k := range modelSeeds {
+		seeds = append(seeds, Candidate[int]{Peer: k, Name: modelNames[k]})
+	}
+	return seeds
+}
+
+// startAlone starts an instance that knows only the seeds at first. The caller holds mu.
+func (m *quotaModel) startAlone(i int) {
+	m.start(i)
+	m.instances[i].hidden = make(map[int]bool)
+	for k := range m.instances {
+		if k != i && k >= modelSeeds {
+			m.instances[i].hidden[k] = true
+		}
+	}
+}
+
 func (m *quotaModel) view(i int, tenant string) View {
 	isHome := m.homeOf(i, tenant) == i
 	m.mu.Lock()
@@ -457,7 +485,8 @@
 			m.mu.Lock()
 			for i := range m.instances {
 				if i%4 == 1 {
-					m.start(i)
+					m.startAlone(i)
+					continue
 				}
 				m.instances[i].hidden = make(map[int]bool)
 				for k := range m.instances {
@@ -470,15 +499,10 @@
 			m.notice(func(int, int) bool { return false })
 		}},
 		{name: "all started at once", startsSurging: true, served: 0.98, start: func(m *quotaModel) {
-			for i, n := range m.instances {
+			for i := range m.instances {
 				time.AfterFunc(time.Duration(m.random.Int64N(int64(1500*time.Millisecond))), func() {
 					m.mu.Lock()
-					m.start(i)
-					for k := range m.instances {
-						if k != i && k >= modelSeeds {
-							n.hidden[k] = true
-						}
-					}
+					m.startAlone(i)
 					m.mu.Unlock()
 				})
 			}
@@ -604,7 +628,7 @@
 		time.AfterFunc(d, func() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			m.start(i)
+			m.startAlone(i)
 		})
 	case 2:
 		part := 2 + random.IntN(3)
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -196,6 +196,9 @@
 		"hedges", result.Stats.Hedges, "repeats", result.Stats.Retries, "waited", result.Stats.Queued, "delegated", result.Stats.Delegated,
 		"missing", result.Stats.Missing,
 	}
+	if result.Tenant != nil {
+		attributes = append(attributes, "tenant", result.Tenant.Name)
+	}
 	if len(result.Stats.MissingServices) > 0 {
 		attributes = append(attributes, "without", result.Stats.MissingServices)
 	}
