--- a/lentilward/quota/local.go
+++ b/lentilward/quota/local.go
@@ -73,10 +73,9 @@
 	demand  average
 	// requests, returned and spent are what the next Ask reports.
 	requests, returned, spent int
-	spentAt                   time.Time
 	fallback                  Bucket
 	use                       float64
-	useAt                     time.Time
+	spentAt, useAt            time.Time
 	count                     Count
 }
 
