Merge allowances and fair sharing among tenants

Cause: tenants' allowances were not kept, and a tenant that sends too much took the room of the others.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -64,7 +64,8 @@
 	// rollouts is nil unless the settings have rollouts.
 	rollouts *rolloutRunner
 	// fence refuses requests with keys while nothing proves that these are still valid.
-	fence *proof.Fence
+	fence      *proof.Fence
+	allowances *allowances
 	// connecting has the addresses of the peers that connectPeer is connecting to.
 	connecting sync.Map
 	// peersCheckedAt is when checkPeers has last pinged the peers.
@@ -90,6 +91,7 @@
 	g.connectCallers()
 	g.connectRollouts(store)
 	g.connectProof()
+	g.connectAllowances()
 	g.applySettings()
 	return g
 }
@@ -106,6 +108,7 @@
 	g.directory.SetRetryBudget(balance.RetryBudget{
 		Ratio: o.RetryBudget.Ratio, Slack: o.RetryBudget.Slack, Window: time.Duration(o.RetryBudget.Window),
 	})
+	g.allowances.setSettings(o.quotaSettings())
 	g.engine.SetPolicy(scatter.Policy{
 		Hedge: o.Search.Hedge, EarlyAnswer: o.Search.EarlyAnswer, AnswerMargin: time.Duration(o.Search.AnswerMargin),
 		CPUShare: o.CPUShare,
@@ -292,6 +295,7 @@
 		if r.Refusal != nil {
 			g.metrics.RecordRefusal(r.Refusal.Reason, r.Refusal.Outcome)
 		}
+		g.allowances.recordResult(r)
 	}
 	g.metrics.RegisterGauge("lentilward_limited_searches", "Sets of shards whose searches are limited because the servers are overloaded.",
 		func() float64 { return float64(g.directory.LimitedSearches(time.Now())) })
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -17,6 +17,7 @@
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/memory"
 	"lentilward.org/lentilward/proof"
+	"lentilward.org/lentilward/quota"
 	"lentilward.org/lentilward/rollout"
 	"lentilward.org/lentilward/scatter"
 )
@@ -54,16 +55,23 @@
 	// settings have none.
 	RolloutReports func([]rollout.Report) []rollout.Reply
 	RolloutNotices func([]rollout.Notice) []rollout.Confirmation
+	// LendQuota answers a request for tokens of a tenant. QuotaHomes returns the instances
+	// that this one considers the homes of tenants.
+	LendQuota  func(a quota.Ask, final bool) QuotaReply
+	QuotaHomes func(tenants []string) []netip.AddrPort
 }
 
 // NewServer returns a server. Its function fields must be set before it serves;
-// Records, Proof and Gather have defaults that return nothing.
+// Records, Proof, Gather, LendQuota and QuotaHomes have defaults that return nothing.
 func NewServer(board *blackboard.Board, permits *Permits, traffic *Traffic, log *slog.Logger) *Server {
 	return &Server{
 		board: board, permits: permits, traffic: traffic, log: log,
 		Records: func(uint64) RecordsReply { return RecordsReply{} },
 		Proof:   noProof,
 		Gather:  func(context.Context, scatter.Gather, func(scatter.Partial)) {},
+
+		LendQuota:  func(quota.Ask, bool) QuotaReply { return QuotaReply{} },
+		QuotaHomes: func([]string) []netip.AddrPort { return nil },
 	}
 }
 
@@ -191,6 +199,8 @@
 		})
 	case kindRolloutReport, kindRolloutStop:
 		return s.dispatchRollout(f)
+	case kindQuota, kindHomes:
+		return s.dispatchQuota(f)
 	}
 	s.traffic.MalformedFrames.Add(1)
 	return nil, merry.Errorf("unknown frame kind %q", f.Kind)
--- a/lentilward/web/key.go
+++ b/lentilward/web/key.go
@@ -99,8 +99,8 @@
 // keyAttributes returns what the log says of the tenant and of a key that was refused.
 func keyAttributes(request *domain.Request, result RequestResult) []any {
 	var attributes []any
-	if result.Tenant != "" {
-		attributes = append(attributes, "tenant", result.Tenant)
+	if result.Tenant != nil {
+		attributes = append(attributes, "tenant", result.Tenant.Name)
 	}
 	if result.Refusal != nil && result.Refusal.Reason == domain.Unauthorized {
 		attributes = append(attributes, "keys", len(request.Keys))
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -72,15 +72,19 @@
 	// lost during a request that failed.
 	IsPoison          func(*domain.Request) bool
 	RecordServersLost func(r *domain.Request, servers int)
+	// Allow reports whether a tenant may send a request, and otherwise when it may. nil
+	// allows all.
+	Allow func(ctx context.Context, tenant *domain.Tenant) (retryAfter time.Duration, ok bool)
 	// OnRequestEnd is called after each request.
 	OnRequestEnd func(RequestResult)
 }
 
-// RequestResult describes how a request ended: its route, the name of its tenant, its
-// duration and cost, and the refusal, or nil if it was answered.
+// RequestResult describes how a request ended: its route, tenant, duration and cost, and
+// the refusal, or nil if it was answered. Tenant is nil if the request has none, or was
+// refused before the tenant was allowed to send it.
 type RequestResult struct {
 	Route    string
-	Tenant   string
+	Tenant   *domain.Tenant
 	Duration time.Duration
 	Stats    scatter.Stats
 	Refusal  *domain.Refusal
@@ -227,13 +231,13 @@
 // handle validates a request, refuses it if it is a poison request, and runs it.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request, request *domain.Request, snapshot *directory.Snapshot, replies *memory.Hold, arrived arrival) (*domain.Answer, RequestResult) {
 	task, refusal := s.admit(w, r, request, snapshot, arrived)
+	if refusal == nil {
+		refusal = s.checkAllowance(r.Context(), task.Tenant)
+	}
 	if refusal != nil {
 		return nil, RequestResult{Duration: time.Since(arrived.at), Refusal: refusal}
 	}
-	result := RequestResult{Route: task.Route.Name}
-	if task.Tenant != nil {
-		result.Tenant = task.Tenant.Name
-	}
+	result := RequestResult{Route: task.Route.Name, Tenant: task.Tenant}
 	if s.IsPoison(request) {
 		result.Duration, result.Refusal = time.Since(arrived.at), &domain.Refusal{
 			Reason: domain.Poison, Outcome: domain.Unknown,
