Allow uneven requests of small tenants within the window

Change: the bucket holds up to half of the slack more, at most what the rate gives in a window. A new home still begins with the burst at most.

--- a/lentilward/quota/bucket.go
+++ b/lentilward/quota/bucket.go
@@ -42,6 +42,17 @@
 func (s Settings) homeStart() float64     { return s.Slack / 2 }
 func (s Settings) fallbackStart() float64 { return s.Slack / 4 }
 
+// startOf is the most that a new home lends at once of a tenant: another home may have lent
+// the rest.
+func (s Settings) startOf(l Limit) float64 { return min(s.homeStart(), l.Burst) }
+
+// bucketSize returns how many requests of a tenant may be sent at once. The allowance is
+// counted over a window, so a tenant whose requests come unevenly may exceed its burst
+// within it. Half of the slack covers what a window may then have in addition.
+func (s Settings) bucketSize(l Limit) float64 {
+	return l.Burst + min(l.Rate*s.Window.Seconds(), s.Slack/2)
+}
+
 // Bucket is a token bucket. The level is negative while more was used than lent.
 type Bucket struct {
 	rate, size, level float64
--- a/lentilward/quota/home.go
+++ b/lentilward/quota/home.go
@@ -129,7 +129,7 @@
 	l.askedAt = now
 	l.setHome(v.IsHome, h.settings, now)
 	part := h.part(l, v, now)
-	l.bucket.Resize(l.limit.Rate*part, max(minBucketSize, l.limit.Burst*part), now)
+	l.bucket.Resize(l.limit.Rate*part, max(minBucketSize, h.settings.bucketSize(l.limit)*part), now)
 	l.demand.add(float64(max(0, a.Demand)), now)
 	// What was spent while the home could not be reached is owed for a term at most, since
 	// part of it was left to the instances that spent it.
@@ -162,18 +162,18 @@
 	}
 	age := max(0, now.Sub(since))
 	l.unsure = h.settings.needsSample(limit) && (age < h.settings.Window || !v.IsHome)
-	start := h.settings.homeStart() * v.Part
+	start := h.settings.startOf(limit) * v.Part
 	if v.IsHome && !l.unsure {
 		start += limit.Rate * v.Part * age.Seconds()
 	}
-	l.bucket = NewBucket(0, max(minBucketSize, limit.Burst), start, now)
+	l.bucket = NewBucket(0, max(minBucketSize, h.settings.bucketSize(limit)), start, now)
 	return l
 }
 
 // setHome records whether this instance is the home. If it has just become the home again,
 // another one may have lent the burst.
 func (l *lender) setHome(isHome bool, s Settings, now time.Time) {
-	if start := s.homeStart(); isHome && !l.isHome {
+	if start := s.startOf(l.limit); isHome && !l.isHome {
 		l.unsure, l.sampledAt = s.needsSample(l.limit), time.Time{}
 		l.bucket.Add(min(0, start-l.bucket.Level(now)), start, now)
 	}
