--- a/lentilstand/platform/wire.go
+++ b/lentilstand/platform/wire.go
@@ -59,10 +59,10 @@
 	SingleService              string
 	Services                   []string
 	// Keys has the keys of tenants, one each. Without keys there are no tenants.
-	Keys                       []string
-	MaxRecords                 int
-	MinCoverage                float64
-	Timeout, TargetLatency     time.Duration
+	Keys                   []string
+	MaxRecords             int
+	MinCoverage            float64
+	Timeout, TargetLatency time.Duration
 }
 
 // Record returns the JSON value of the configuration's record.
--- a/lentilward/gateway_proof.go
+++ b/lentilward/gateway_proof.go
@@ -196,7 +196,13 @@
 	provenAt := answer.ProvenAt(asked)
 	g.directory.Prove(provenAt)
 	now, err := g.fence.Clock()
-	return err == nil && now.Sub(provenAt) < g.lateProofAge()
+	if err != nil {
+		return false
+	}
+	age = max(0, now.Sub(provenAt))
+	// Otherwise this instance would read the store because gossip confirms its records late.
+	g.follower.MarkCurrent(age)
+	return age < g.lateProofAge()
 }
 
 // awaitRevision fetches records from a peer if this instance does not have those up to a
--- a/lentilward/mirror/prove.go
+++ b/lentilward/mirror/prove.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return err
 	}
+	begunAt := time.Now()
 	readCtx, cancel := context.WithTimeout(ctx, proveTimeout)
 	defer cancel()
 	revision, err := f.ReadRevision(readCtx)
@@ -42,6 +43,7 @@
 			return errBehind
 		}
 	}
+	f.MarkCurrent(time.Since(begunAt))
 	f.OnProof(asked)
 	return nil
 }
