Hand searches to holders where instances outnumber connections

Change: package holder decides who holds connections (weighted rendezvous hashing over members with their share of a core) and chooses among holders; scatter hands a search to one, asks a second early and calls directly after that; a holder hedges and retries itself. Gossip carries shares of a core beside the members. The store remembers the number of instances and the holders.

--- a/lentilward/balance/budget.go
+++ b/lentilward/balance/budget.go
@@ -60,6 +60,13 @@
 // available. share is this instance's share of the retry budget's slack. A hedge
 // may use only hedgeShare of the budget.
 func (b *InstanceBudget) Spend(now time.Time, share float64, hedge bool) bool {
+	return b.SpendRounded(now, share, hedge, 0)
+}
+
+// SpendRounded is as Spend where so many instances share a budget that the part of each is
+// below one call. rounding is a random number below 1 that is kept for several windows:
+// over all instances it adds up to the fractions that rounding down takes away.
+func (b *InstanceBudget) SpendRounded(now time.Time, share float64, hedge bool, rounding float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
@@ -68,7 +75,7 @@
 	if hedge {
 		allowed *= hedgeShare
 	}
-	if float64(b.extraCalls+1) > allowed {
+	if float64(b.extraCalls+1) > allowed+rounding {
 		return false
 	}
 	b.extraCallsByBucket[b.currentBucket%windowBuckets]++
--- /dev/null
+++ b/lentilward/balance/order.go
@@ -0,0 +1,64 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServersBeyond returns the servers that a request must not be sent to so that it is sent
+// to at most n, whichever instances run it: those beyond the first n in an order that
+// depends on the request only. Servers in the data centre home come first. Servers that
+// can't be called don't count.
+func (s *Service) ServersBeyond(n int, home, requestID string, now time.Time) []*Server {
+	servers := s.Servers()
+	if len(servers) <= n {
+		return nil
+	}
+	type ordered struct {
+		server *Server
+		far    int
+		hash   uint64
+	}
+	list := make([]ordered, 0, len(servers))
+	for _, server := range servers {
+		if server.IsOutOfService() || server.checkBlocked(now) {
+			continue
+		}
+		far := 0
+		if server.DataCentre != home {
+			far = 1
+		}
+		list = append(list, ordered{server, far, xxhash.Sum64String(requestID + "\x00" + server.ID)})
+	}
+	if len(list) <= n {
+		return nil
+	}
+	slices.SortFunc(list, func(a, b ordered) int {
+		return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(a.hash, b.hash))
+	})
+	beyond := make([]*Server, 0, len(list)-n)
+	for _, o := range list[n:] {
+		beyond = append(beyond, o.server)
+	}
+	return beyond
+}
+
+// AcquireConnectedExcept is as AcquireConnected without the servers in exclude.
+func (s *Service) AcquireConnectedExcept(exclude []*Server, now time.Time) *Server {
+	for _, server := range s.Servers() {
+		if !server.Pool.HasIdle() {
+			exclude = append(exclude, server)
+		}
+	}
+	return s.Acquire(exclude, now)
+}
+
+// MayConnect reports whether this instance may have a connection to any server.
+func (s *Service) MayConnect() bool {
+	return slices.ContainsFunc(s.Servers(), func(server *Server) bool {
+		return !server.IsOutOfService() && server.Pool.Limit.Load() > 0
+	})
+}
--- a/lentilward/blackboard/members.go
+++ b/lentilward/blackboard/members.go
@@ -35,6 +35,9 @@
 	Incarnation uint64         `cbor:"incarnation"`
 	State       MemberState    `cbor:"state"`
 	Revision    uint64         `cbor:"revision"`
+	// CPUShare is the share of a core that the machine has; 0 if it is not known. Gossip
+	// carries it beside the members, since older builds accept no further element.
+	CPUShare float64 `cbor:"-"`
 	// LastSeen is when this instance last received a message from the member, or
 	// when it first received an update about it, whichever is later.
 	LastSeen time.Time `cbor:"-"`
--- a/lentilward/conn/pool.go
+++ b/lentilward/conn/pool.go
@@ -48,6 +48,8 @@
 	Limit atomic.Int32
 	// Opened counts the connections opened so far.
 	Opened atomic.Int64
+	// OnDemand is set while connections are opened only when a call needs one.
+	OnDemand atomic.Bool
 	// Dial opens a connection.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
@@ -197,7 +199,7 @@
 func (p *Pool) OpenIdle(ctx context.Context, n int) {
 	for range n {
 		p.mu.Lock()
-		canOpen := !p.closed && p.open < n && p.open < int(p.Limit.Load())
+		canOpen := !p.closed && !p.OnDemand.Load() && p.open < n && p.open < int(p.Limit.Load())
 		if canOpen {
 			p.open++
 		}
--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -126,6 +126,24 @@
 	// discover its peers. Until it has passed, the number of instances is taken
 	// to be at least that given by the seeds.
 	discoveryPeriod = 5 * time.Second
+	// fleetRecoveryPeriod is how long after its start an instance that knows fewer
+	// instances than the store remembers counts those that are missing, and
+	// fleetKnownShare the share of them that has to be known. A member that is lost counts
+	// for as long.
+	fleetRecoveryPeriod = time.Minute
+	fleetKnownShare     = 0.9
+	// fleetCheckInterval is the interval between checks of the record of the fleet,
+	// fleetWriteDelay how long it must be wrong before it is written, and fleetShrinkDelay
+	// the same if instances are missing: they may return together.
+	fleetCheckInterval = 5 * time.Second
+	fleetWriteDelay    = 20 * time.Second
+	fleetShrinkDelay   = 10 * time.Minute
+	// minStartConnections is the number of connections to a server for each instance that
+	// is expected, below which an instance that has just started opens one.
+	minStartConnections = 2
+	// roundingWindows is the number of windows of the retry budget for which the random
+	// rounding of a small part of it is kept.
+	roundingWindows = 3
 	// heapMemoryShare is the share of the machine's memory that the memory limit
 	// of the Go runtime is set to.
 	heapMemoryShare = 0.7
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -63,6 +63,12 @@
 	// InstanceCount returns the number of instances that share the connections to
 	// each server.
 	InstanceCount func() int
+	// OnState is called with each new snapshot, and once a second, before the limits of
+	// connections are set.
+	OnState func(s *Snapshot)
+	// ConnectionLimit returns the limit of connections to a server, and whether they are
+	// opened ahead. ok is false if all instances have the same share.
+	ConnectionLimit func(service, dataCentre string, maxConnections int) (limit int, ahead, ok bool)
 	// SinceStoreReturn returns how long ago the store was first known to serve again
 	// after calls to it had failed; 0 while it is away.
 	SinceStoreReturn func() time.Duration
@@ -99,12 +105,18 @@
 	recheckAt time.Time
 	// instances has the peer addresses of the registered instances, by key.
 	instances sync.Map
+	// toOpen has the servers to which connections are opened ahead once their limits are
+	// set.
+	toOpen []*balance.Server
 }
 
 // trackedServer is a backend server with the contents of its record.
 type trackedServer struct {
 	domain.BackendServer
 	server *balance.Server
+	// ahead is set while connections to the server are opened ahead because this instance
+	// is a holder.
+	ahead bool
 	// deleted is set while the server's record is deleted.
 	deleted bool
 	// removeAt is when the server is due for removal; zero if it is not.
@@ -121,6 +133,8 @@
 		services: make(map[string]*balance.Service), routes: make(map[string]*balance.Route),
 		admissions: make(map[string]*admission.Limit),
 	}
+	d.OnState = func(*Snapshot) {}
+	d.ConnectionLimit = func(string, string, int) (int, bool, bool) { return 0, false, false }
 	d.retryBudget.Store(&balance.RetryBudget{})
 	d.SetDrainPeriod(0)
 	return d
@@ -180,6 +194,7 @@
 			d.applyPending(ctx)
 		case <-tick.C:
 			d.maintain(time.Now())
+			d.openAhead(ctx)
 		}
 		if checkAt := d.nextRemovalCheck(); !checkAt.IsZero() {
 			removalTimer.Reset(time.Until(checkAt))
@@ -218,7 +233,7 @@
 		case r.Key == d.recordFormat.ConfigurationKey:
 			d.applyConfiguration(r)
 		case strings.HasPrefix(r.Key, d.recordFormat.ServerPrefix):
-			if tracked := d.applyServer(ctx, r, now); tracked != nil {
+			if tracked := d.applyServer(r, now); tracked != nil {
 				deleted = append(deleted, tracked)
 			}
 		case strings.HasPrefix(r.Key, d.recordFormat.InstancePrefix):
@@ -232,6 +247,7 @@
 	}
 	d.scheduleRemovals(deleted, knownAt, now)
 	d.rebuild(now)
+	d.openAhead(ctx)
 }
 
 func (d *Directory) applyConfiguration(r mirror.Record) {
@@ -268,6 +284,14 @@
 	d.instances.Store(r.Key, address)
 }
 
+// openAhead opens connections to the servers in toOpen in the background.
+func (d *Directory) openAhead(ctx context.Context) {
+	for _, s := range d.toOpen {
+		go openAhead(ctx, s)
+	}
+	d.toOpen = d.toOpen[:0]
+}
+
 // maxOpenDelay bounds the random delay with which a connection is opened ahead, so that
 // not all instances connect to a new server at once.
 const maxOpenDelay = time.Second
@@ -288,7 +312,7 @@
 
 // applyServer applies the record of a server. It returns the server if the record
 // was deleted.
-func (d *Directory) applyServer(ctx context.Context, r mirror.Record, now time.Time) *trackedServer {
+func (d *Directory) applyServer(r mirror.Record, now time.Time) *trackedServer {
 	tracked := d.servers[r.Key]
 	if r.Deleted {
 		if tracked != nil {
@@ -314,7 +338,7 @@
 		d.log.Debug("backend server added", "id", b.ID, "service", b.Service, "address", b.Address, "leaving", b.Draining)
 		if !b.Draining {
 			d.updateConnectionLimit(tracked, b)
-			go openAhead(ctx, tracked.server)
+			d.toOpen = append(d.toOpen, tracked.server)
 		}
 	}
 	if b.Draining && !tracked.Draining {
--- a/lentilward/directory/snapshot.go
+++ b/lentilward/directory/snapshot.go
@@ -130,6 +130,9 @@
 }
 
 func (d *Directory) updateConnectionLimits() {
+	if snapshot := d.Current.Load(); snapshot != nil {
+		d.OnState(snapshot)
+	}
 	for _, tracked := range d.servers {
 		d.updateConnectionLimit(tracked, tracked.BackendServer)
 	}
@@ -144,10 +147,30 @@
 			maxConnections = s.MaxConnections
 		}
 	}
+	if limit, ahead, ok := d.ConnectionLimit(b.Service, b.DataCentre, maxConnections); ok {
+		ahead = ahead && !tracked.server.Remote
+		tracked.server.Pool.Limit.Store(int32(limit))
+		tracked.server.Pool.OnDemand.Store(!ahead)
+		if ahead && !tracked.ahead && !tracked.server.IsOutOfService() {
+			d.toOpen = append(d.toOpen, tracked.server)
+		}
+		tracked.ahead = ahead
+		return
+	}
+	tracked.ahead = false
+	tracked.server.Pool.OnDemand.Store(false)
 	share := int32(connectionShare * float64(maxConnections) / float64(max(1, d.InstanceCount())))
 	tracked.server.Pool.Limit.Store(max(1, share))
 }
 
+// MaxConnections returns the maximum number of connections to a server of a service.
+func (s *Snapshot) MaxConnections(service string) int {
+	if c := s.Configuration.Services[service]; c != nil && c.MaxConnections > 0 {
+		return c.MaxConnections
+	}
+	return defaultMaxConnections
+}
+
 // defaultMaxConnections is the maximum number of connections to a server while the
 // configuration sets none for its service, or does not have the service yet.
 const defaultMaxConnections = 16
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -60,6 +60,7 @@
 	engine       *scatter.Engine
 	metrics      *monitor.Metrics
 	fleet        *fleetSize
+	holders      *holders
 	// connecting has the addresses of the peers that connectPeer is connecting to.
 	connecting sync.Map
 	// peersCheckedAt is when checkPeers has last pinged the peers.
@@ -83,6 +84,7 @@
 	g.connectPeers()
 	g.connectDirectory()
 	g.connectCallers()
+	g.connectHolders(store)
 	g.applySettings()
 	return g
 }
@@ -108,7 +110,7 @@
 	traffic := &peer.Traffic{}
 	self := blackboard.Member{
 		Name: g.options.Load().Name, Address: g.options.Load().Listen.Peers, DataCentre: g.options.Load().DataCentre,
-		Incarnation: uint64(time.Now().UnixMilli()),
+		Incarnation: uint64(time.Now().UnixMilli()), CPUShare: g.options.Load().CPUShare,
 	}
 	g.links = peer.NewLinks(traffic)
 	g.links.Dial = dialPeer
@@ -232,6 +234,7 @@
 		return balance.NewServer(b, pool, remote)
 	}
 	g.mirror.OnChange = func(records []mirror.Record) {
+		g.fleet.mergeRecords(records, g.log)
 		g.directory.Enqueue(records)
 		g.mergePoisonRequests(records)
 		g.prober.GossipNow()
--- a/lentilward/gateway_gather.go
+++ b/lentilward/gateway_gather.go
@@ -121,5 +121,8 @@
 		g.log.Info("refusing to gather for a peer: route or service unknown", "request-id", request.Request.ID, "route", request.Route)
 		return
 	}
+	if request.Handover != nil {
+		g.holders.run.Add(1)
+	}
 	g.engine.Gather(ctx, request, state, snapshot.Admissions[request.Route], services, emit)
 }
--- /dev/null
+++ b/lentilward/gateway_holder.go
@@ -0,0 +1,470 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lentilward.org/lentilward/balance"
+	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/lentilward/directory"
+	"lentilward.org/lentilward/holder"
+	"lentilward.org/lentilward/scatter"
+	"lentilward.org/platform"
+	"lentilward.org/schema/domain"
+)
+
+// holders hands searches to the instances that hold connections to the servers of their
+// shards, where instances outnumber the connections that a server accepts.
+type holders struct {
+	board      *blackboard.Board
+	fleet      *fleetSize
+	log        *slog.Logger
+	dataCentre string
+	chooser    *holder.Chooser
+	plan       atomic.Pointer[holder.Plan]
+	// retryBudget returns the retry budget of each service.
+	retryBudget func() *balance.RetryBudget
+	// isConnected reports whether a peer can be asked at once, and connect opens a
+	// connection to it in the background.
+	isConnected func(netip.AddrPort) bool
+	connect     func(netip.AddrPort)
+	// peerCount returns the number of instances that are expected after the start.
+	peerCount func() int
+	// writeRecord writes the record of the fleet if the present one has the revision, or
+	// deletes it if record is nil.
+	writeRecord func(ctx context.Context, revision uint64, record *fleetRecord) error
+
+	// signature identifies the input of the present plan.
+	signature uint64
+	mu        sync.Mutex
+	// rescues has the budgets of second holders and direct calls, by the key of the search.
+	rescues map[string]*rescueBudget
+
+	handed, second, direct, unaided, run atomic.Int64
+}
+
+// rescueBudget is this instance's part of the retry budget for searches over one set of
+// services. A call counts as one to each.
+type rescueBudget struct {
+	budget   *balance.InstanceBudget
+	searches int
+	rounding float64
+	drawnAt  time.Time
+}
+
+// connectHolders connects the component that hands searches to holders.
+func (g *Gateway) connectHolders(store *platform.Store) {
+	h := &holders{
+		board: g.board, fleet: g.fleet, log: g.log, dataCentre: g.options.Load().DataCentre, chooser: holder.NewChooser(),
+		isConnected: g.links.CanGather, connect: g.connectPeer, rescues: make(map[string]*rescueBudget),
+		retryBudget: func() *balance.RetryBudget {
+			o := g.options.Load()
+			return &balance.RetryBudget{Ratio: o.RetryBudget.Ratio, Slack: o.RetryBudget.Slack, Window: time.Duration(o.RetryBudget.Window)}
+		},
+		peerCount: func() int { return max(len(g.options.Load().Peers), len(g.directory.PeerAddresses())) },
+		writeRecord: func(ctx context.Context, revision uint64, record *fleetRecord) error {
+			return storeFleetRecord(ctx, store, revision, record)
+		},
+	}
+	g.holders = h
+	g.directory.OnState, g.directory.ConnectionLimit = h.update, h.connectionLimit
+	g.engine.PlanHandover = h.planHandover
+	g.engine.HolderShare, g.engine.BudgetShare = h.slackShare, h.directShare
+	for name, gauge := range map[string]struct {
+		help  string
+		value func() float64
+	}{
+		"lentilward_handovers":                {"Searches that were handed to holders.", func() float64 { return float64(h.handed.Load()) }},
+		"lentilward_handovers_second":         {"Hand-overs to a second holder in place of one that was late or lost.", func() float64 { return float64(h.second.Load()) }},
+		"lentilward_handovers_direct":         {"Searches called directly in place of a holder that was late or lost.", func() float64 { return float64(h.direct.Load()) }},
+		"lentilward_handovers_unaided":        {"Searches whose holder was late or lost and had no replacement.", func() float64 { return float64(h.unaided.Load()) }},
+		"lentilward_searches_held":            {"Searches that this instance has run as holder for peers.", func() float64 { return float64(h.run.Load()) }},
+		"lentilward_holders":                  {"Instances that hold connections for others; 0 if holders are not needed.", h.holderCount},
+		"lentilward_holder":                   {"1 while this instance is a holder.", func() float64 { return boolToFloat(h.plan.Load().HoldsAny()) }},
+		"lentilward_backend_open_connections": {"Connections to backend servers that are open.", func() float64 { return float64(g.openConnections()) }},
+	} {
+		g.metrics.RegisterGauge(name, gauge.help, gauge.value)
+	}
+}
+
+func boolToFloat(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// openConnections returns the number of open connections to backend servers.
+func (g *Gateway) openConnections() int {
+	n := 0
+	if snapshot := g.directory.Current.Load(); snapshot != nil {
+		for _, service := range snapshot.Services {
+			for _, s := range service.Servers() {
+				n += s.Pool.Open()
+			}
+		}
+	}
+	return n
+}
+
+func (h *holders) holderCount() float64 {
+	if p := h.plan.Load(); p != nil {
+		return float64(p.HolderCount)
+	}
+	return 0
+}
+
+// update makes a new plan if the configuration or the members have changed.
+func (h *holders) update(snapshot *directory.Snapshot) {
+	in := holder.Input{Size: h.fleet.size(), Services: make(map[string]holder.Service)}
+	in.Searches = h.findSearches(snapshot, in.Services, in.Size)
+	if len(in.Searches) > 0 {
+		h.addMembers(&in)
+	}
+	if signature := h.sign(&in, snapshot); signature != h.signature {
+		h.signature = signature
+		plan := holder.Build(in)
+		old := h.plan.Swap(plan)
+		if !slices.Equal(old.AllHolders(), plan.AllHolders()) || old.HoldsAny() != plan.HoldsAny() {
+			h.log.Info("holders of connections changed", "needed", plan != nil, "instances", in.Size, "members", len(in.Members),
+				"groups", plan.Groups(), "holders", len(plan.AllHolders()), "held-here", plan.HoldsAny(), "minority", in.Minority)
+		}
+	}
+	h.connectHolders()
+}
+
+// minHandedShards is the number of shards from which a search is handed to a holder.
+const minHandedShards = 3
+
+// findSearches returns the searches that holders may run. It adds their services.
+func (h *holders) findSearches(snapshot *directory.Snapshot, services map[string]holder.Service, size int) []holder.Search {
+	var searches []holder.Search
+	direct := make(map[string]bool)
+	for _, routes := range snapshot.Configuration.Routes {
+		for _, route := range routes {
+			for _, part := range route.TrafficSplit {
+				direct[part.Service] = true
+			}
+			if !isHandedOver(route) {
+				for _, shard := range route.Shards {
+					direct[shard] = true
+				}
+				continue
+			}
+			searches = append(searches, holder.Search{Key: searchKey(route), Services: route.Shards})
+		}
+	}
+	for _, s := range searches {
+		for _, name := range s.Services {
+			services[name] = holder.Service{MaxConnections: snapshot.MaxConnections(name), Direct: direct[name]}
+		}
+	}
+	for _, service := range services {
+		if holder.IsNeeded(service.MaxConnections, size) {
+			return searches
+		}
+	}
+	return nil
+}
+
+// isHandedOver reports whether requests of a route may be handed to a holder. Requests
+// that may run only once never are.
+func isHandedOver(route *domain.Route) bool {
+	return route.Idempotent && len(route.Shards) >= minHandedShards
+}
+
+// searchKey identifies a set of services.
+func searchKey(route *domain.Route) string { return strings.Join(route.Shards, " ") }
+
+// addMembers adds the members that may be holders, and the sizes of the data centres.
+func (h *holders) addMembers(in *holder.Input) {
+	members := h.board.Members.Load()
+	in.Self, in.DataCentreSizes = members.Self, make(map[string]int)
+	known := make(map[string]bool)
+	for _, m := range members.List {
+		in.DataCentreSizes[m.DataCentre]++
+		if m.State <= blackboard.Suspected || m.Name == members.Self && m.State != blackboard.Leaving {
+			known[m.Name] = true
+			in.Members = append(in.Members, holder.Member{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, CPUShare: m.CPUShare})
+		}
+	}
+	record := h.fleet.recovering()
+	if record == nil {
+		in.Minority = 2*len(in.Members) < in.Size
+		return
+	}
+	for d, n := range record.DataCentres {
+		in.DataCentreSizes[d] = max(in.DataCentreSizes[d], n)
+	}
+	for _, m := range record.Holders {
+		if member, found := members.Find(m.Name); !known[m.Name] && (!found || member.State <= blackboard.Suspected) {
+			in.Members = append(in.Members, m)
+		}
+	}
+}
+
+// sign returns a hash of what a plan depends on.
+func (h *holders) sign(in *holder.Input, snapshot *directory.Snapshot) uint64 {
+	if len(in.Searches) == 0 {
+		return 0
+	}
+	value := *in
+	value.Searches = nil
+	data, err := json.Marshal(value)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(data) ^ snapshot.Configuration.Version ^ 1
+}
+
+// connectHolders opens connections to the holders that are not connected.
+func (h *holders) connectHolders() {
+	self := h.board.Members.Load().Self
+	for _, m := range h.plan.Load().AllHolders() {
+		if m.Name != self && !h.isConnected(m.Address) {
+			h.connect(m.Address)
+		}
+	}
+}
+
+// connectionLimit returns the limit of connections to a server.
+func (h *holders) connectionLimit(service, dataCentre string, maxConnections int) (limit int, ahead, ok bool) {
+	if limit, held, ok := h.plan.Load().Limit(service, dataCentre); ok {
+		return limit, held, true
+	}
+	// An instance that has just started where many others may start as well opens few
+	// connections until it knows how many there are.
+	if time.Since(h.fleet.started) < discoveryPeriod && h.fleet.record.Load() == nil && h.fleet.known() == 1 &&
+		holder.UsableShare*float64(maxConnections) < minStartConnections*float64(h.peerCount()+1) {
+		return 1, true, true
+	}
+	return 0, false, false
+}
+
+// directShare returns this instance's share of the slack of the retry budget for requests
+// that are not handed over.
+func (h *holders) directShare() float64 { return h.fleet.share() * h.plan.Load().DirectUseShare() }
+
+// slackShare returns this instance's share of the slack of the retry budget for the
+// searches that it runs.
+func (h *holders) slackShare() float64 {
+	plan, share := h.plan.Load(), h.fleet.share()
+	if plan == nil || share == 0 {
+		return share
+	}
+	return plan.SlackShare(h.fleet.size())
+}
+
+// planHandover returns how a search is handed to holders; nil if none are needed for it.
+func (h *holders) planHandover(t *scatter.Task) *scatter.Handover {
+	plan := h.plan.Load()
+	if plan == nil || !isHandedOver(t.Route) {
+		return nil
+	}
+	key := searchKey(t.Route)
+	parts := plan.Parts(key)
+	if len(parts) == 0 {
+		return nil
+	}
+	var groups []int
+	handover := &scatter.Handover{DataCentre: h.dataCentre, SlackShare: h.slackShare}
+	for _, part := range parts {
+		if !plan.Holds(part.Group) {
+			groups = append(groups, part.Group)
+			handover.Groups = append(handover.Groups, part.Services)
+		}
+	}
+	if len(groups) == 0 {
+		return handover
+	}
+	handover.Choose = func(group int, asked []netip.AddrPort) (netip.AddrPort, bool, bool) {
+		return h.choose(plan, groups[group], asked)
+	}
+	handover.KeepCredit = func(int, time.Time) bool { return h.keepCredit(key) }
+	handover.Spend = func(int, time.Time) bool { return h.spend(plan, key) }
+	handover.Refund = func(int, time.Time) { h.rescue(key).budget.Refund(time.Now()) }
+	handover.Begin = func(address netip.AddrPort) {
+		h.handed.Add(1)
+		h.chooser.Begin(address, time.Now())
+	}
+	handover.End = func(address netip.AddrPort, o scatter.HandoverOutcome) {
+		h.chooser.End(address, holder.Outcome{Answered: o.Answered, Took: o.Took, Allowed: o.Allowed, Ignored: o.Undecided}, time.Now())
+	}
+	handover.OnLate = h.recordLate
+	return handover
+}
+
+// choose chooses a holder of a group that was not asked and to which a connection is open.
+func (h *holders) choose(plan *holder.Plan, group int, asked []netip.AddrPort) (address netip.AddrPort, far, ok bool) {
+	members := h.board.Members.Load()
+	usable := func(list []holder.Member) []holder.Member {
+		var usable []holder.Member
+		for _, m := range list {
+			member, found := members.Find(m.Name)
+			if m.Name == members.Self || found && member.State > blackboard.Suspected || slices.Contains(asked, m.Address) {
+				continue
+			}
+			if !h.isConnected(m.Address) {
+				h.connect(m.Address)
+				continue
+			}
+			usable = append(usable, m)
+		}
+		return usable
+	}
+	choice, ok := h.chooser.Choose(usable(plan.Holders(group, h.dataCentre)), usable(plan.HoldersElsewhere(group, h.dataCentre)), time.Now())
+	return choice.Member.Address, choice.Far, ok
+}
+
+// rescue returns the budget of searches over a set of services.
+func (h *holders) rescue(key string) *rescueBudget {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.rescues[key]
+	if b == nil {
+		b = &rescueBudget{budget: balance.NewInstanceBudget(h.retryBudget)}
+		h.rescues[key] = b
+	}
+	return b
+}
+
+// keepCredit counts a search, and reports whether its first calls count for the budget of
+// this instance: every second one does. The holder counts the others.
+func (h *holders) keepCredit(key string) bool {
+	b := h.rescue(key)
+	h.mu.Lock()
+	b.searches++
+	keep := b.searches%2 == 1
+	h.mu.Unlock()
+	if keep {
+		b.budget.RecordFirstCall(time.Now())
+	}
+	return keep
+}
+
+// spend takes one more call for each service of a search from the retry budget.
+func (h *holders) spend(plan *holder.Plan, key string) bool {
+	b, now := h.rescue(key), time.Now()
+	share := 0.0
+	if h.fleet.share() > 0 {
+		share = plan.RescueShare(h.fleet.size()) / float64(max(1, plan.SearchCount()))
+	}
+	h.mu.Lock()
+	if now.Sub(b.drawnAt) > roundingWindows*h.retryBudget().Window {
+		b.rounding, b.drawnAt = rand.Float64(), now
+	}
+	rounding := b.rounding
+	h.mu.Unlock()
+	return b.budget.SpendRounded(now, share, true, rounding)
+}
+
+// recordLate counts and logs what was done about a holder that was late or lost.
+func (h *holders) recordLate(step scatter.HandoverStep) {
+	outcome := "waiting: this instance may call no server"
+	switch {
+	case step.Second.IsValid():
+		outcome = "second holder"
+		h.second.Add(1)
+	case step.Direct:
+		outcome = "direct calls"
+		h.direct.Add(1)
+	case step.BudgetSpent:
+		outcome = "waiting: retry budget is spent"
+		fallthrough
+	default:
+		h.unaided.Add(1)
+	}
+	h.log.Info("holder of connections is late or lost", "request-id", step.RequestID, "holder", step.Holder, "after", step.After,
+		"lost", step.Lost, "outcome", outcome, "second", step.Second)
+}
+
+// keepRecord keeps the record of the number of instances up to date until the context
+// ends. One instance writes it, rarely, and only where holders are needed.
+func (h *holders) keepRecord(ctx context.Context) {
+	tick := time.NewTicker(fleetCheckInterval)
+	defer tick.Stop()
+	var wrongSince time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		record, delay, wrong := h.nextRecord()
+		if !wrong {
+			wrongSince = time.Time{}
+			continue
+		}
+		if wrongSince.IsZero() {
+			wrongSince = time.Now()
+		}
+		if time.Since(wrongSince) < delay {
+			continue
+		}
+		wrongSince = time.Time{}
+		var revision uint64
+		if present := h.fleet.record.Load(); present != nil {
+			revision = present.revision
+		}
+		callCtx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
+		err := h.writeRecord(callCtx, revision, record)
+		cancel()
+		h.log.Info("number of instances written to the store", "needed", record != nil, "instances", h.fleet.size(), "expected-revision", revision, "error", err)
+	}
+}
+
+// nextRecord returns the record that the store should have. wrong is set if it has another
+// and this instance is to write it, once that has been so for the delay. A record is nil
+// if the store should have none.
+func (h *holders) nextRecord() (record *fleetRecord, delay time.Duration, wrong bool) {
+	plan, present, members := h.plan.Load(), h.fleet.record.Load(), h.board.Members.Load()
+	if plan == nil && present == nil || h.fleet.recovering() != nil || time.Since(h.fleet.started) < fleetWriteDelay ||
+		!members.HasMajority || members.Rank("fleet") != 0 {
+		return nil, 0, false
+	}
+	if plan == nil {
+		return nil, fleetShrinkDelay, true
+	}
+	record = &fleetRecord{Instances: h.fleet.size(), DataCentres: make(map[string]int), Holders: plan.AllHolders()}
+	for _, m := range members.List {
+		record.DataCentres[m.DataCentre]++
+	}
+	switch {
+	case present == nil:
+		return record, 0, true
+	case float64(record.Instances) < fleetKnownShare*float64(present.Instances):
+		return record, fleetShrinkDelay, true
+	case float64(record.Instances)*fleetKnownShare > float64(present.Instances), !slices.Equal(record.Holders, present.Holders):
+		return record, fleetWriteDelay, true
+	}
+	return nil, 0, false
+}
+
+// storeFleetRecord writes or deletes the record of the fleet if it has the revision.
+func storeFleetRecord(ctx context.Context, store *platform.Store, revision uint64, record *fleetRecord) error {
+	expect := []platform.Condition{{Key: fleetKey, Revision: revision}}
+	if record == nil {
+		_, err := store.Commit(ctx, expect, nil, []string{fleetKey})
+		return err
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	_, err = store.Commit(ctx, expect, []platform.Write{{Key: fleetKey, Value: value}}, nil)
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	return err
+}
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -54,6 +54,7 @@
 	go g.poisonWriter.Run(processCtx)
 	go g.transferState(processCtx)
 	go g.awaitReady(processCtx)
+	go g.holders.keepRecord(processCtx)
 	select {
 	case err := <-failed:
 		return merry.Wrap(err)
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -41,6 +41,9 @@
 	Updates []blackboard.Member `cbor:"news"`
 	// Age is how long ago the sender's revision was last known to be the newest.
 	Age time.Duration `cbor:"age,omitempty"`
+	// CPUShares has the shares of a core, in thousandths, of the sender and of the members
+	// in Updates that tell theirs, by name.
+	CPUShares map[string]uint32 `cbor:"cpu-shares,omitempty"`
 }
 
 // Table holds this instance's view of the members. It is the only writer of the
@@ -133,6 +136,7 @@
 	g := t.nextGossip()
 	if e := t.members[to]; e != nil && e.State != blackboard.Alive {
 		g.Updates = append(g.Updates, e.Member)
+		g.addCPUShares()
 	}
 	return g
 }
@@ -163,6 +167,7 @@
 	if e := t.randomMember(); e != nil && len(pending) < maxUpdatesPerMessage {
 		g.Updates = append(g.Updates, e.Member)
 	}
+	g.addCPUShares()
 	return g
 }
 
@@ -194,6 +199,7 @@
 	for _, m := range g.Updates {
 		t.mergeUpdate(m)
 	}
+	t.mergeCPUShares(g.CPUShares)
 	t.publish()
 }
 
@@ -227,6 +233,9 @@
 	oldState, lastSeen := e.State, e.LastSeen
 	restarted := m.Incarnation != e.Incarnation && m.State == blackboard.Alive && oldState > blackboard.Suspected
 	revision := max(e.Revision, m.Revision)
+	if m.CPUShare == 0 {
+		m.CPUShare = e.CPUShare
+	}
 	e.Member = m
 	e.LastSeen = lastSeen
 	e.Revision = revision
--- a/lentilward/peer/gather.go
+++ b/lentilward/peer/gather.go
@@ -5,7 +5,9 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
@@ -61,7 +63,7 @@
 	}
 	if f.Kind != kindPartial {
 		c.remoteGathers.Delete(f.ID)
-		gather.(*remoteGather).done(nil)
+		gather.(*remoteGather).end(f)
 		return true
 	}
 	var p scatter.Partial
@@ -132,12 +134,59 @@
 	defer cancel(nil)
 	running.add(f.ID, cancel)
 	defer running.cancel(f.ID, nil)
+	ended := false
 	s.Gather(gatherCtx, g, func(p scatter.Partial) {
-		if gatherCtx.Err() == nil {
+		switch {
+		case gatherCtx.Err() != nil:
+		case p.Last:
+			ended = true
+			s.sendFrame(ctx, conn, f.ID, kindReply, newGatherEnd(p))
+		default:
 			s.sendFrame(ctx, conn, f.ID, kindPartial, p)
 		}
 	})
-	if gatherCtx.Err() == nil {
+	if gatherCtx.Err() == nil && !ended {
 		s.sendFrame(ctx, conn, f.ID, kindReply, struct{}{})
 	}
 }
+
+// gatherEnd is the body of the last frame of a gather. That of a hand-over has the last
+// results, so that a search takes one frame in each direction.
+type gatherEnd struct {
+	Partial    *scatter.Partial `cbor:"partial,omitempty"`
+	Refused    bool             `cbor:"refused,omitempty"`
+	RetryAfter time.Duration    `cbor:"retry-after,omitempty"`
+}
+
+func newGatherEnd(p scatter.Partial) gatherEnd {
+	if p.Refused {
+		return gatherEnd{Refused: true, RetryAfter: p.RetryAfter}
+	}
+	return gatherEnd{Partial: &p}
+}
+
+// end passes on what the last frame of a gather has.
+func (g *remoteGather) end(f frame) {
+	if f.Kind == kindError {
+		g.done(errGatherFailed)
+		return
+	}
+	var end gatherEnd
+	if err := cbor.Unmarshal(f.Body, &end); err != nil {
+		g.done(err)
+		return
+	}
+	if end.Partial != nil {
+		g.answered.Store(true)
+		g.emit(*end.Partial)
+	}
+	if end.Refused {
+		g.answered.Store(true)
+		g.done(&scatter.HolderRefusal{RetryAfter: end.RetryAfter})
+		return
+	}
+	g.done(nil)
+}
+
+// errGatherFailed is the error of a gather that the peer could not run.
+var errGatherFailed = merry.Sentinel("peer could not run the gather")
--- a/lentilward/scatter/conclude.go
+++ b/lentilward/scatter/conclude.go
@@ -81,6 +81,8 @@
 	required := r.minParts()
 	expired := !now.Before(r.deadline)
 	switch {
+	case r.refusal != nil && r.repliedParts == 0:
+		return true, nil, r.refusal
 	case r.pendingParts == 0 && r.repliedParts >= required, expired && r.repliedParts >= required, !now.Before(r.earlyAnswerAt) && r.repliedParts >= required:
 		return true, r.buildAnswer(), nil
 	case r.repliedParts+r.pendingParts < required:
--- a/lentilward/scatter/delegate.go
+++ b/lentilward/scatter/delegate.go
@@ -26,6 +26,8 @@
 type mergedParts struct {
 	proofs  []string
 	records []byte
+	// parts has the indexes of the parts if a holder has merged them.
+	parts []int
 }
 
 // delegation is the part of a search that one gatherer collects.
@@ -36,6 +38,8 @@
 	answered bool
 	// cancel is nil once the gather has ended.
 	cancel func(abandoned bool)
+	// handed is set if the gatherer is a holder that runs the whole search.
+	handed *handedParts
 }
 
 // gatherEvent is a partial result from a gatherer, or the end of its gather.
@@ -43,6 +47,7 @@
 	from    *delegation
 	partial Partial
 	ended   bool
+	err     error
 }
 
 // delegate lets gatherers collect the parts that have no server in this data centre.
@@ -189,6 +194,10 @@
 // parts and hedges late ones directly. Once the gather has ended, it calls servers
 // directly for all parts that are still missing.
 func (r *run) handleGatherEvent(e gatherEvent, now time.Time) {
+	if e.from.handed != nil {
+		r.handleHolderEvent(e, now)
+		return
+	}
 	parts := e.from.parts
 	if e.ended {
 		e.from.cancel = nil
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -50,6 +50,11 @@
 	// abandoned set the gatherer also aborts its calls, since the caller has
 	// disconnected.
 	StartGather func(gatherer netip.AddrPort, g Gather, emit func(Partial), ended func(error)) (cancel func(abandoned bool), err error)
+	// PlanHandover returns how a search is handed to holders; nil if this instance runs it
+	// as if there were none.
+	PlanHandover func(t *Task) *Handover
+	// HolderShare is as BudgetShare for the searches that this instance runs as holder.
+	HolderShare func() float64
 
 	// stopAt is when the last request must have its final answer; nil unless the
 	// engine is stopping, and set before stopping is closed.
@@ -63,6 +68,7 @@
 		stopping: make(chan struct{}), codec: codec, OnLeaving: func(*balance.Server) {},
 		OnReset: func(*balance.Server, time.Duration) {}, BudgetShare: func() float64 { return 1 },
 		ChooseGatherer: func(map[string]int) (netip.AddrPort, string, bool) { return netip.AddrPort{}, "", false },
+		PlanHandover:   func(*Task) *Handover { return nil }, HolderShare: func() float64 { return 1 },
 	}
 	e.SetPolicy(Policy{})
 	return e
@@ -115,6 +121,8 @@
 	Delegated int
 	// Queued is the number of calls that waited for a free slot.
 	Queued int
+	// HoldersAsked is the number of holders that were asked to run the search or a part.
+	HoldersAsked int
 }
 
 // priority returns the priority of the request among those that compete for slots.
--- a/lentilward/scatter/gather.go
+++ b/lentilward/scatter/gather.go
@@ -23,6 +23,8 @@
 	HedgeAfter time.Duration
 	// TimeLeft is the time until the deadline of the request.
 	TimeLeft time.Duration
+	// Handover is set if the gatherer is a holder, which runs the whole search.
+	Handover *HandoverTerms `cbor:"Handover,omitempty"`
 }
 
 // Partial is what a gatherer has collected since its previous Partial. Parts are
@@ -42,6 +44,13 @@
 	FailedServers []string
 	// Lost is the number of calls whose connection was lost before a complete reply.
 	Lost int
+
+	// Last is set in the last one of a hand-over.
+	Last bool `cbor:"-"`
+	// Refused is set if the holder has refused the search, which has not run. RetryAfter
+	// says when there may be room again.
+	Refused    bool          `cbor:"-"`
+	RetryAfter time.Duration `cbor:"-"`
 }
 
 // Gather runs part of a search for a requester and emits its results: one merged
@@ -58,6 +67,10 @@
 	route := &domain.Route{
 		Name: g.Route, Idempotent: true, MaxAttempts: 1, Priority: g.Rank, MaxRecords: g.Results, Shards: g.Services,
 	}
+	if g.Handover != nil {
+		e.runForPeer(ctx, g, state, admission, services, emit)
+		return
+	}
 	hold := e.NewHold()
 	defer hold.Release()
 	request := *g.Request
--- a/lentilward/scatter/hedge.go
+++ b/lentilward/scatter/hedge.go
@@ -43,7 +43,7 @@
 // mayHedge reports whether another part may be hedged. Those of a gatherer that has not
 // answered do not count: it may be lost.
 func (r *run) mayHedge(p *part) bool {
-	if p.gathering && !p.delegation.answered {
+	if p.gathering && (p.delegation == nil || !p.delegation.answered) {
 		return true
 	}
 	share := maxHedgedShare
--- a/lentilward/scatter/launch.go
+++ b/lentilward/scatter/launch.go
@@ -10,6 +10,9 @@
 // to a server that was tried if there is no other. A hedge does not go to a server
 // with overdue calls.
 func (r *run) acquireServer(p *part, hedge bool, now time.Time) *balance.Server {
+	if r.restricted != nil {
+		return r.acquireRestricted(p, hedge, now)
+	}
 	if p.awaitsConnection {
 		return p.service.AcquireConnected(now)
 	}
@@ -59,14 +62,14 @@
 	r.stats.Calls++
 	if hedge {
 		r.stats.Hedges++
-		if !p.gathering || p.delegation.answered {
+		if !p.gathering || p.delegation != nil && p.delegation.answered {
 			r.cappedHedges++
 		}
 	} else if extra {
 		r.stats.Retries++
 	}
 	if r.task.Route.Idempotent {
-		p.nextCallAt = now.Add(r.task.State.HedgeDelay(r.task.Route.TargetLatency, now))
+		p.nextCallAt = now.Add(max(r.minHedgeDelay, r.task.State.HedgeDelay(r.task.Route.TargetLatency, now)))
 	}
 	go c.execute()
 }
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -62,6 +62,18 @@
 	timer        *time.Timer
 	delegations  []*delegation
 	gatherEvents chan gatherEvent
+	// handover is set if holders run the search, or this instance as one of them.
+	handover *Handover
+	handed   []*handedParts
+	// refusal is set once a holder has refused the search.
+	refusal *domain.Refusal
+	// restricted is set if several instances may run the search, so that they must use
+	// the same servers.
+	restricted *serverOrder
+	// minHedgeDelay bounds the hedge delay from below.
+	minHedgeDelay time.Duration
+	// slackShare returns the share of the slack of the retry budget that calls may use.
+	slackShare func() float64
 }
 
 // part is the state of the contribution of one service to the answer.
@@ -85,7 +97,9 @@
 	gathering  bool
 	delegation *delegation
 	merged     *mergedParts
-	reply      *domain.Reply
+	// prepaid is set while the retry budget is charged already for the next call.
+	prepaid bool
+	reply   *domain.Reply
 	// lastFailure is the latest reply that was not a success.
 	lastFailure *domain.Reply
 }
@@ -103,7 +117,7 @@
 		engine: e, policy: e.policy.Load(), task: t, deadline: deadline.Add(-min(deadlineMargin, deadline.Sub(t.Begin)/deadlineMarginDivisor)),
 		parts: make([]part, len(t.Services)), pendingParts: len(t.Services),
 		results: make(chan callResult, len(t.Services)*maxCallsPerPart), wokenParts: make(chan int, len(t.Services)),
-		gatherEvents: make(chan gatherEvent, 2*len(t.Services)+6*maxGatherers),
+		gatherEvents: make(chan gatherEvent, 2*len(t.Services)+6*maxGatherers), slackShare: e.BudgetShare,
 	}
 	r.dialContext, r.cancelDials = context.WithCancel(context.WithoutCancel(ctx))
 	r.endBeforeStop()
@@ -130,17 +144,28 @@
 // loop runs the request until it is answered or refused.
 func (r *run) loop(ctx context.Context) (*domain.Answer, *domain.Refusal) {
 	now := time.Now()
+	r.handover = r.engine.PlanHandover(&r.task)
 	for i, s := range r.task.Services {
 		r.parts[i].service = s
-		s.Budget.RecordFirstCall(now)
+		if r.handover == nil {
+			s.Budget.RecordFirstCall(now)
+		}
 	}
 	if refusal := r.checkFeasible(now); refusal != nil {
 		return nil, refusal
 	}
-	if refusal := r.checkLimit(now); refusal != nil {
-		return nil, refusal
+	if r.handover != nil {
+		r.handOver(now)
+	}
+	// The holders decide whether there is room for the searches that they run.
+	if len(r.handed) == 0 {
+		if refusal := r.checkLimit(now); refusal != nil {
+			return nil, refusal
+		}
+	}
+	if r.handover == nil {
+		r.delegate(now)
 	}
-	r.delegate(now)
 	for i := range r.parts {
 		if !r.parts[i].gathering {
 			r.startCall(i, now)
@@ -167,6 +192,7 @@
 			r.handleGatherEvent(e, time.Now())
 		case <-r.timer.C:
 			r.startDueCalls(time.Now())
+			r.advanceHandovers(time.Now())
 		case <-stopping:
 			stopping = nil
 			r.endBeforeStop()
@@ -210,6 +236,11 @@
 			at = p.nextCallAt
 		}
 	}
+	for _, h := range r.handed {
+		if !h.nextStepAt.IsZero() && h.nextStepAt.Before(at) {
+			at = h.nextStepAt
+		}
+	}
 	return at
 }
 
@@ -225,19 +256,21 @@
 		return
 	}
 	extra := p.startedCalls > 0
-	if extra && !p.service.Budget.Spend(now, r.engine.BudgetShare(), hedge) {
+	charged := extra && !p.prepaid
+	if charged && !p.service.Budget.Spend(now, r.slackShare(), hedge) {
 		p.nextCallAt = now.Add(recheckDelay)
 		return
 	}
 	s := r.acquireServer(p, hedge, now)
 	if s == nil {
-		if extra {
+		if charged {
 			p.service.Budget.Refund(now)
 		}
 		r.waitForSlot(i, hedge, now)
 		return
 	}
-	r.launchCall(i, s, hedge, extra, now)
+	p.prepaid = false
+	r.launchCall(i, s, hedge, charged, now)
 }
 
 // handleResult applies the result of a call to its part and starts a retry if
@@ -312,6 +345,7 @@
 	r.cancelDials()
 	r.cancelGathers(false)
 	now := time.Now()
+	r.reportHandovers(now)
 	for i := range r.parts {
 		p := &r.parts[i]
 		if p.waiter != nil {
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -189,6 +189,7 @@
 	attributes := []any{
 		"request-id", request.ID, "route", result.Route, "status", status, "took", result.Duration, "calls", result.Stats.Calls,
 		"hedges", result.Stats.Hedges, "repeats", result.Stats.Retries, "waited", result.Stats.Queued, "delegated", result.Stats.Delegated,
+		"holders", result.Stats.HoldersAsked,
 		"missing", result.Stats.Missing,
 	}
 	if len(result.Stats.MissingServices) > 0 {
