--- /dev/null
+++ b/lentilward/balance/order_test.go
@@ -0,0 +1,49 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against instances that run the same request on different servers, so that it is
+// sent to more of them than its route permits.
+func TestInstancesUseTheSameServersForARequest(t *testing.T) {
+	build := func() *Service {
+		var servers []*Server
+		for i := range 3 {
+			s := newTestServer(fmt.Sprint("s", i), false)
+			s.DataCentre = fmt.Sprint("z", i)
+			servers = append(servers, s)
+		}
+		return newTestService(servers...)
+	}
+	one, two := build(), build()
+	used := make(map[string]int)
+	for i := range 200 {
+		id := fmt.Sprint("request ", i)
+		a, b := one.ServersBeyond(2, "z1", id, time.Now()), two.ServersBeyond(2, "z1", id, time.Now())
+		if len(a) != 1 || len(b) != 1 || a[0].ID != b[0].ID || a[0].DataCentre == "z1" {
+			t.Fatalf("%v and %v", a, b)
+		}
+		used[a[0].ID]++
+	}
+	if len(used) != 2 || used["s0"] < 60 || used["s2"] < 60 {
+		t.Errorf("servers left out: %v", used)
+	}
+	if beyond := one.ServersBeyond(3, "z1", "x", time.Now()); len(beyond) != 0 {
+		t.Errorf("%d servers left out of 3 permitted", len(beyond))
+	}
+}
+
+// Guards against a server that is lost and keeps the others from being used.
+func TestLostServersDoNotCountAmongThosePermitted(t *testing.T) {
+	servers := []*Server{newTestServer("a", false), newTestServer("b", false), newTestServer("c", false)}
+	s := newTestService(servers...)
+	servers[0].SetOutOfService(true)
+	servers[1].RecordUnreachable(time.Now())
+	if beyond := s.ServersBeyond(1, "", "x", time.Now()); slices.Contains(beyond, servers[2]) {
+		t.Fatal("the only server that can be called is left out")
+	}
+}
--- a/lentilward/constants.go
+++ b/lentilward/constants.go
@@ -130,8 +130,10 @@
 	// instances than the store remembers counts those that are missing, and
 	// fleetKnownShare the share of them that has to be known. A member that is lost counts
 	// for as long.
+	// An instance that knows less than fleetMajorityShare counts them at any time.
 	fleetRecoveryPeriod = time.Minute
 	fleetKnownShare     = 0.9
+	fleetMajorityShare  = 0.5
 	// fleetCheckInterval is the interval between checks of the record of the fleet,
 	// fleetWriteDelay how long it must be wrong before it is written, and fleetShrinkDelay
 	// the same if instances are missing: they may return together.
--- a/lentilward/fleet_size.go
+++ b/lentilward/fleet_size.go
@@ -38,6 +38,8 @@
 	window func() time.Duration
 	// record is what the store remembers; nil if it has no record.
 	record atomic.Pointer[fleetRecord]
+	// complete is set once this instance has known all members.
+	complete atomic.Bool
 }
 
 func newFleetSize(board *blackboard.Board, minInitial int, window func() time.Duration) *fleetSize {
@@ -72,7 +74,7 @@
 	if time.Since(f.started) < discoveryPeriod {
 		n = max(n, f.minInitial)
 	}
-	if record := f.recovering(); record != nil {
+	if record := f.missing(); record != nil {
 		n = max(n, record.Instances)
 	}
 	return n
@@ -90,11 +92,29 @@
 	return n
 }
 
-// recovering returns what the store remembers while this instance, after its start, knows
-// only some of the instances that are expected; otherwise nil.
-func (f *fleetSize) recovering() *fleetRecord {
+// remembered returns what the store remembers while this instance, after its start, may
+// not know all members yet; otherwise nil.
+func (f *fleetSize) remembered() *fleetRecord {
 	record := f.record.Load()
-	if record == nil || time.Since(f.started) > fleetRecoveryPeriod || float64(f.known()) >= fleetKnownShare*float64(record.Instances) {
+	if record == nil || f.complete.Load() {
+		return nil
+	}
+	if time.Since(f.started) > fleetRecoveryPeriod || f.known() >= record.Instances {
+		f.complete.Store(true)
+		return nil
+	}
+	return record
+}
+
+// missing returns what the store remembers while this instance knows fewer instances than
+// are expected: few of them after its start, or less than half at any time, since it may
+// be cut off from the others; otherwise nil.
+func (f *fleetSize) missing() *fleetRecord {
+	record, share := f.record.Load(), fleetMajorityShare
+	if f.remembered() != nil {
+		share = fleetKnownShare
+	}
+	if record == nil || float64(f.known()) >= share*float64(record.Instances) {
 		return nil
 	}
 	return record
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -110,7 +110,7 @@
 	traffic := &peer.Traffic{}
 	self := blackboard.Member{
 		Name: g.options.Load().Name, Address: g.options.Load().Listen.Peers, DataCentre: g.options.Load().DataCentre,
-		Incarnation: uint64(time.Now().UnixMilli()), CPUShare: g.options.Load().CPUShare,
+		Incarnation: uint64(time.Now().UnixMilli()), CPUShare: member.RoundCPUShare(g.options.Load().CPUShare),
 	}
 	g.links = peer.NewLinks(traffic)
 	g.links.Dial = dialPeer
--- a/lentilward/gateway_holder.go
+++ b/lentilward/gateway_holder.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"log/slog"
-	"math/rand/v2"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -54,15 +53,6 @@
 	handed, second, direct, unaided, run atomic.Int64
 }
 
-// rescueBudget is this instance's part of the retry budget for searches over one set of
-// services. A call counts as one to each.
-type rescueBudget struct {
-	budget   *balance.InstanceBudget
-	searches int
-	rounding float64
-	drawnAt  time.Time
-}
-
 // connectHolders connects the component that hands searches to holders.
 func (g *Gateway) connectHolders(store *platform.Store) {
 	h := &holders{
@@ -81,48 +71,7 @@
 	g.directory.OnState, g.directory.ConnectionLimit = h.update, h.connectionLimit
 	g.engine.PlanHandover = h.planHandover
 	g.engine.HolderShare, g.engine.BudgetShare = h.slackShare, h.directShare
-	for name, gauge := range map[string]struct {
-		help  string
-		value func() float64
-	}{
-		"lentilward_handovers":                {"Searches that were handed to holders.", func() float64 { return float64(h.handed.Load()) }},
-		"lentilward_handovers_second":         {"Hand-overs to a second holder in place of one that was late or lost.", func() float64 { return float64(h.second.Load()) }},
-		"lentilward_handovers_direct":         {"Searches called directly in place of a holder that was late or lost.", func() float64 { return float64(h.direct.Load()) }},
-		"lentilward_handovers_unaided":        {"Searches whose holder was late or lost and had no replacement.", func() float64 { return float64(h.unaided.Load()) }},
-		"lentilward_searches_held":            {"Searches that this instance has run as holder for peers.", func() float64 { return float64(h.run.Load()) }},
-		"lentilward_holders":                  {"Instances that hold connections for others; 0 if holders are not needed.", h.holderCount},
-		"lentilward_holder":                   {"1 while this instance is a holder.", func() float64 { return boolToFloat(h.plan.Load().HoldsAny()) }},
-		"lentilward_backend_open_connections": {"Connections to backend servers that are open.", func() float64 { return float64(g.openConnections()) }},
-	} {
-		g.metrics.RegisterGauge(name, gauge.help, gauge.value)
-	}
-}
-
-func boolToFloat(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// openConnections returns the number of open connections to backend servers.
-func (g *Gateway) openConnections() int {
-	n := 0
-	if snapshot := g.directory.Current.Load(); snapshot != nil {
-		for _, service := range snapshot.Services {
-			for _, s := range service.Servers() {
-				n += s.Pool.Open()
-			}
-		}
-	}
-	return n
-}
-
-func (h *holders) holderCount() float64 {
-	if p := h.plan.Load(); p != nil {
-		return float64(p.HolderCount)
-	}
-	return 0
+	g.registerHolderMetrics()
 }
 
 // update makes a new plan if the configuration or the members have changed.
@@ -136,6 +85,7 @@
 		h.signature = signature
 		plan := holder.Build(in)
 		old := h.plan.Swap(plan)
+		h.forget(plan)
 		if !slices.Equal(old.AllHolders(), plan.AllHolders()) || old.HoldsAny() != plan.HoldsAny() {
 			h.log.Info("holders of connections changed", "needed", plan != nil, "instances", in.Size, "members", len(in.Members),
 				"groups", plan.Groups(), "holders", len(plan.AllHolders()), "held-here", plan.HoldsAny(), "minority", in.Minority)
@@ -144,6 +94,19 @@
 	h.connectHolders()
 }
 
+// forget drops what is known of former holders and of searches that are not handed over
+// any more.
+func (h *holders) forget(plan *holder.Plan) {
+	addresses := make(map[netip.AddrPort]bool)
+	for _, m := range plan.AllHolders() {
+		addresses[m.Address] = true
+	}
+	h.chooser.Keep(func(a netip.AddrPort) bool { return addresses[a] })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.rescues, func(key string, _ *rescueBudget) bool { return plan.Parts(key) == nil })
+}
+
 // minHandedShards is the number of shards from which a search is handed to a holder.
 const minHandedShards = 3
 
@@ -199,14 +162,16 @@
 			in.Members = append(in.Members, holder.Member{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, CPUShare: m.CPUShare})
 		}
 	}
-	record := h.fleet.recovering()
+	if record := h.fleet.missing(); record != nil {
+		for d, n := range record.DataCentres {
+			in.DataCentreSizes[d] = max(in.DataCentreSizes[d], n)
+		}
+	}
+	record := h.fleet.remembered()
 	if record == nil {
-		in.Minority = 2*len(in.Members) < in.Size
+		in.Minority = float64(len(in.Members)) < fleetMajorityShare*float64(in.Size)
 		return
 	}
-	for d, n := range record.DataCentres {
-		in.DataCentreSizes[d] = max(in.DataCentreSizes[d], n)
-	}
 	for _, m := range record.Holders {
 		if member, found := members.Find(m.Name); !known[m.Name] && (!found || member.State <= blackboard.Suspected) {
 			in.Members = append(in.Members, m)
@@ -291,7 +256,7 @@
 	handover.Choose = func(group int, asked []netip.AddrPort) (netip.AddrPort, bool, bool) {
 		return h.choose(plan, groups[group], asked)
 	}
-	handover.KeepCredit = func(int, time.Time) bool { return h.keepCredit(key) }
+	handover.KeepCredit = sync.OnceValue(func() bool { return h.keepCredit(key) })
 	handover.Spend = func(int, time.Time) bool { return h.spend(plan, key) }
 	handover.Refund = func(int, time.Time) { h.rescue(key).budget.Refund(time.Now()) }
 	handover.Begin = func(address netip.AddrPort) {
@@ -306,67 +271,35 @@
 }
 
 // choose chooses a holder of a group that was not asked and to which a connection is open.
+// Holders that are suspected to be lost are used if there are no others.
 func (h *holders) choose(plan *holder.Plan, group int, asked []netip.AddrPort) (address netip.AddrPort, far, ok bool) {
-	members := h.board.Members.Load()
-	usable := func(list []holder.Member) []holder.Member {
-		var usable []holder.Member
-		for _, m := range list {
-			member, found := members.Find(m.Name)
-			if m.Name == members.Self || found && member.State > blackboard.Suspected || slices.Contains(asked, m.Address) {
-				continue
-			}
-			if !h.isConnected(m.Address) {
-				h.connect(m.Address)
-				continue
-			}
-			usable = append(usable, m)
+	for _, worst := range []blackboard.MemberState{blackboard.Alive, blackboard.Suspected} {
+		near := h.usable(plan.Holders(group, h.dataCentre), worst, asked)
+		elsewhere := h.usable(plan.HoldersElsewhere(group, h.dataCentre), worst, asked)
+		if choice, ok := h.chooser.Choose(near, elsewhere, time.Now()); ok {
+			return choice.Member.Address, choice.Far, true
 		}
-		return usable
-	}
-	choice, ok := h.chooser.Choose(usable(plan.Holders(group, h.dataCentre)), usable(plan.HoldersElsewhere(group, h.dataCentre)), time.Now())
-	return choice.Member.Address, choice.Far, ok
-}
-
-// rescue returns the budget of searches over a set of services.
-func (h *holders) rescue(key string) *rescueBudget {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	b := h.rescues[key]
-	if b == nil {
-		b = &rescueBudget{budget: balance.NewInstanceBudget(h.retryBudget)}
-		h.rescues[key] = b
-	}
-	return b
-}
-
-// keepCredit counts a search, and reports whether its first calls count for the budget of
-// this instance: every second one does. The holder counts the others.
-func (h *holders) keepCredit(key string) bool {
-	b := h.rescue(key)
-	h.mu.Lock()
-	b.searches++
-	keep := b.searches%2 == 1
-	h.mu.Unlock()
-	if keep {
-		b.budget.RecordFirstCall(time.Now())
 	}
-	return keep
+	return netip.AddrPort{}, false, false
 }
 
-// spend takes one more call for each service of a search from the retry budget.
-func (h *holders) spend(plan *holder.Plan, key string) bool {
-	b, now := h.rescue(key), time.Now()
-	share := 0.0
-	if h.fleet.share() > 0 {
-		share = plan.RescueShare(h.fleet.size()) / float64(max(1, plan.SearchCount()))
-	}
-	h.mu.Lock()
-	if now.Sub(b.drawnAt) > roundingWindows*h.retryBudget().Window {
-		b.rounding, b.drawnAt = rand.Float64(), now
+// usable returns the holders that may be asked now, and connects to those that may be
+// soon. Remembered ones that are no members yet count as alive.
+func (h *holders) usable(list []holder.Member, worst blackboard.MemberState, asked []netip.AddrPort) []holder.Member {
+	members := h.board.Members.Load()
+	var usable []holder.Member
+	for _, m := range list {
+		member, _ := members.Find(m.Name)
+		if m.Name == members.Self || member.State > worst || slices.Contains(asked, m.Address) {
+			continue
+		}
+		if !h.isConnected(m.Address) {
+			h.connect(m.Address)
+			continue
+		}
+		usable = append(usable, m)
 	}
-	rounding := b.rounding
-	h.mu.Unlock()
-	return b.budget.SpendRounded(now, share, true, rounding)
+	return usable
 }
 
 // recordLate counts and logs what was done about a holder that was late or lost.
@@ -388,83 +321,3 @@
 	h.log.Info("holder of connections is late or lost", "request-id", step.RequestID, "holder", step.Holder, "after", step.After,
 		"lost", step.Lost, "outcome", outcome, "second", step.Second)
 }
-
-// keepRecord keeps the record of the number of instances up to date until the context
-// ends. One instance writes it, rarely, and only where holders are needed.
-func (h *holders) keepRecord(ctx context.Context) {
-	tick := time.NewTicker(fleetCheckInterval)
-	defer tick.Stop()
-	var wrongSince time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		record, delay, wrong := h.nextRecord()
-		if !wrong {
-			wrongSince = time.Time{}
-			continue
-		}
-		if wrongSince.IsZero() {
-			wrongSince = time.Now()
-		}
-		if time.Since(wrongSince) < delay {
-			continue
-		}
-		wrongSince = time.Time{}
-		var revision uint64
-		if present := h.fleet.record.Load(); present != nil {
-			revision = present.revision
-		}
-		callCtx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
-		err := h.writeRecord(callCtx, revision, record)
-		cancel()
-		h.log.Info("number of instances written to the store", "needed", record != nil, "instances", h.fleet.size(), "expected-revision", revision, "error", err)
-	}
-}
-
-// nextRecord returns the record that the store should have. wrong is set if it has another
-// and this instance is to write it, once that has been so for the delay. A record is nil
-// if the store should have none.
-func (h *holders) nextRecord() (record *fleetRecord, delay time.Duration, wrong bool) {
-	plan, present, members := h.plan.Load(), h.fleet.record.Load(), h.board.Members.Load()
-	if plan == nil && present == nil || h.fleet.recovering() != nil || time.Since(h.fleet.started) < fleetWriteDelay ||
-		!members.HasMajority || members.Rank("fleet") != 0 {
-		return nil, 0, false
-	}
-	if plan == nil {
-		return nil, fleetShrinkDelay, true
-	}
-	record = &fleetRecord{Instances: h.fleet.size(), DataCentres: make(map[string]int), Holders: plan.AllHolders()}
-	for _, m := range members.List {
-		record.DataCentres[m.DataCentre]++
-	}
-	switch {
-	case present == nil:
-		return record, 0, true
-	case float64(record.Instances) < fleetKnownShare*float64(present.Instances):
-		return record, fleetShrinkDelay, true
-	case float64(record.Instances)*fleetKnownShare > float64(present.Instances), !slices.Equal(record.Holders, present.Holders):
-		return record, fleetWriteDelay, true
-	}
-	return nil, 0, false
-}
-
-// storeFleetRecord writes or deletes the record of the fleet if it has the revision.
-func storeFleetRecord(ctx context.Context, store *platform.Store, revision uint64, record *fleetRecord) error {
-	expect := []platform.Condition{{Key: fleetKey, Revision: revision}}
-	if record == nil {
-		_, err := store.Commit(ctx, expect, nil, []string{fleetKey})
-		return err
-	}
-	value, err := json.Marshal(record)
-	if err != nil {
-		return err
-	}
-	_, err = store.Commit(ctx, expect, []platform.Write{{Key: fleetKey, Value: value}}, nil)
-	if errors.Is(err, platform.ErrConflict) {
-		return nil
-	}
-	return err
-}
--- a/lentilward/holder/chooser_test.go
+++ b/lentilward/holder/chooser_test.go
@@ -206,6 +206,27 @@
 	}
 }
 
+// Guards against late searches while a fifth of the holders are five times slower than
+// the others: one large machine in every data centre.
+func TestSearchesAvoidAFifthOfTheHoldersThatIsSlow(t *testing.T) {
+	f := newFleetModel(37, 0.8, 0.8, 0.8, 0.134, 0.134)
+	f.run(20*time.Second, 100, everyAsker)
+	for d := range 3 {
+		f.holders[addressOf(d, 1)].slowness = 5
+	}
+	f.run(5*time.Second, 100, everyAsker)
+	f.run(20*time.Second, 100, everyAsker)
+	slow := 0
+	for d := range 3 {
+		slow += f.served[addressOf(d, 1)]
+	}
+	share, late := float64(slow)/float64(f.total()), float64(f.late)/float64(f.total())
+	t.Logf("slow holders run %.3f, late %.3f", share, late)
+	if share > 0.1 || late > 0.1 {
+		t.Fatalf("slow holders run %.3f of the searches, %.3f are late", share, late)
+	}
+}
+
 // Guards against holders of one data centre that can't bear the demand of all while those
 // of others are idle.
 func TestDemandMovedToOneDataCentreIsSpread(t *testing.T) {
--- a/lentilward/member/cpu_share.go
+++ b/lentilward/member/cpu_share.go
@@ -6,8 +6,11 @@
 	"lentilward.org/lentilward/blackboard"
 )
 
-// cpuShareUnit is the unit in which shares of a core are sent.
-const cpuShareUnit = 0.001
+// cpuShareUnits is the number of units of a core in which shares are sent.
+const cpuShareUnits = 1000
+
+// RoundCPUShare rounds a share as it is sent, so that all instances know the same one.
+func RoundCPUShare(share float64) float64 { return math.Round(share*cpuShareUnits) / cpuShareUnits }
 
 // addCPUShares adds the shares of the members in the message.
 func (g *Gossip) addCPUShares() {
@@ -18,7 +21,7 @@
 		if g.CPUShares == nil {
 			g.CPUShares = make(map[string]uint32)
 		}
-		g.CPUShares[m.Name] = uint32(math.Round(min(m.CPUShare/cpuShareUnit, math.MaxUint32)))
+		g.CPUShares[m.Name] = uint32(math.Round(min(m.CPUShare*cpuShareUnits, math.MaxUint32)))
 	}
 }
 
@@ -27,7 +30,7 @@
 func (t *Table) mergeCPUShares(shares map[string]uint32) {
 	for name, share := range shares {
 		if e := t.members[name]; e != nil && share > 0 {
-			e.CPUShare = float64(share) * cpuShareUnit
+			e.CPUShare = float64(share) / cpuShareUnits
 		}
 	}
 }
--- a/lentilward/scatter/delegate.go
+++ b/lentilward/scatter/delegate.go
@@ -105,6 +105,10 @@
 // are left to be hedged by direct calls.
 func (r *run) delegateHedges(due []int, now time.Time) []int {
 	route := r.task.Route
+	if r.handover != nil || r.restricted != nil {
+		// A holder never hands on, and others have no connections for more.
+		return due
+	}
 	if len(due) < minDelegatedParts || len(route.Shards) < minDelegatedParts || !r.policy.Hedge || len(r.delegations) >= 2*maxGatherers {
 		return due
 	}
--- a/lentilward/scatter/handover.go
+++ b/lentilward/scatter/handover.go
@@ -1,12 +1,8 @@
 package scatter
 
 import (
-	"errors"
 	"net/netip"
 	"time"
-
-	"lentilward.org/lentilward/balance"
-	"lentilward.org/schema/domain"
 )
 
 const (
@@ -33,110 +29,6 @@
 	directRetryDelay = 50 * time.Millisecond
 )
 
-// Handover is how a search is handed to holders: instances that keep connections to the
-// servers of its services.
-type Handover struct {
-	// Groups has the indexes of the parts that one holder runs. Parts in no group are
-	// called by this instance.
-	Groups [][]int
-	// DataCentre is the data centre of this instance.
-	DataCentre string
-	// Choose chooses a holder for a group, other than those that were asked.
-	Choose func(group int, asked []netip.AddrPort) (holder netip.AddrPort, far, ok bool)
-	// KeepCredit reports whether the first calls of the search count for the retry budget
-	// of this instance and not for that of the holder.
-	KeepCredit func(group int, now time.Time) bool
-	// Spend takes one more call for each part of a group from the retry budget, and
-	// reports whether it was available. Refund gives it back.
-	Spend  func(group int, now time.Time) bool
-	Refund func(group int, now time.Time)
-	// SlackShare is this instance's share of the slack of retry budgets.
-	SlackShare func() float64
-	// Begin is called when a holder is asked, and End when it has answered or is no
-	// longer waited for.
-	Begin func(holder netip.AddrPort)
-	End   func(holder netip.AddrPort, o HandoverOutcome)
-	// OnLate is called when a holder is late or lost and step is taken.
-	OnLate func(step HandoverStep)
-}
-
-// HandoverOutcome is how a hand-over ended.
-type HandoverOutcome struct {
-	// Answered is set if most results have come, after the time Took; Allowed is the time
-	// in which they should come.
-	Answered      bool
-	Took, Allowed time.Duration
-	// Undecided is set if the search ended before the holder could answer.
-	Undecided bool
-}
-
-// HandoverStep is what is done about a holder that is late or lost.
-type HandoverStep struct {
-	RequestID string
-	Holder    netip.AddrPort
-	After     time.Duration
-	// Lost is set if the holder ended the search without all results.
-	Lost bool
-	// Second is the holder that is asked in its place. Direct is set if the servers are
-	// called directly, and BudgetSpent if the retry budget permits neither.
-	Second              netip.AddrPort
-	Direct, BudgetSpent bool
-}
-
-// HandoverTerms are the additional terms on which a holder runs a search.
-type HandoverTerms struct {
-	// Attempts bounds the servers that are called for each part.
-	Attempts int `cbor:"attempts"`
-	// AnswerIn is the time after which the results must be sent.
-	AnswerIn time.Duration `cbor:"answer-in"`
-	// Target and Coverage are the target latency and the least share of parts.
-	Target   time.Duration `cbor:"target,omitempty"`
-	Coverage float64       `cbor:"coverage,omitempty"`
-	// DataCentre is the data centre of the requester.
-	DataCentre string `cbor:"data-centre"`
-	// Credited is set if the first calls count already for the retry budget of the
-	// requester.
-	Credited bool `cbor:"credited,omitempty"`
-}
-
-// HolderRefusal ends a hand-over whose holder has no room. The search has not run.
-type HolderRefusal struct{ RetryAfter time.Duration }
-
-// Error returns the cause.
-func (*HolderRefusal) Error() string { return "holder has no room for the search" }
-
-// handedParts are the parts of a search that are handed to one holder, and then to
-// another or called directly if that is late.
-type handedParts struct {
-	group int
-	parts []int
-	asked []*holderAsked
-	// nextStepAt is when the next step is due if nothing has come; zero if none is.
-	nextStepAt time.Time
-	direct     bool
-}
-
-// holderAsked is one hand-over.
-type holderAsked struct {
-	*delegation
-	address          netip.AddrPort
-	askedAt          time.Time
-	allowed          time.Duration
-	merged           int
-	failedParts      []int
-	mostAt           time.Time
-	ended, failed    bool
-	reported, logged bool
-}
-
-// serverOrder restricts the servers of a search to those that every instance that may
-// run it uses.
-type serverOrder struct {
-	home      string
-	requestID string
-	n         int
-}
-
 // handOver asks a holder for each group of parts. Parts without a holder are called
 // directly.
 func (r *run) handOver(now time.Time) {
@@ -221,12 +113,15 @@
 	terms := &HandoverTerms{
 		Attempts: route.MaxAttempts, AnswerIn: allowed, Target: route.TargetLatency, Coverage: route.MinCoverage,
 		// The calls of a second holder are charged to this instance as extra calls.
-		DataCentre: r.handover.DataCentre, Credited: second || r.handover.KeepCredit(h.group, now),
+		DataCentre: r.handover.DataCentre, Credited: second || r.handover.KeepCredit(),
 	}
 	g := Gather{
 		Request: r.task.Request, Route: route.Name, Rank: r.task.priority(), Results: route.MaxRecords,
 		HedgeAfter: time.Duration(firstResultsShare * float64(allowed)), TimeLeft: r.deadline.Sub(now), Handover: terms,
 	}
+	if r.task.Tenant != nil {
+		terms.Tenant = r.task.Tenant.Name
+	}
 	for _, i := range h.parts {
 		g.Services = append(g.Services, r.parts[i].service.Name)
 	}
@@ -261,196 +156,6 @@
 	return true
 }
 
-// handleHolderEvent applies results of a holder, or the end of its run.
-func (r *run) handleHolderEvent(e gatherEvent, now time.Time) {
-	h := e.from.handed
-	a := h.find(e.from)
-	var refusal *HolderRefusal
-	switch {
-	case !e.ended:
-		r.mergeHolderResults(h, a, e.partial, now)
-	case errors.As(e.err, &refusal):
-		a.cancel, a.ended, a.logged = nil, true, true
-		r.endHandover(a, HandoverOutcome{Undecided: true})
-		if len(h.asked) == 1 && len(r.handed) == 1 {
-			r.refusal = &domain.Refusal{
-				Reason: domain.Overloaded, Outcome: domain.NotRun, RetryAfter: refusal.RetryAfter, Message: "backend servers are overloaded",
-			}
-			return
-		}
-		h.nextStepAt = now
-	default:
-		a.cancel, a.ended = nil, true
-		if r.isMissingAny(h) {
-			// A holder that knows less than it should, or was lost: the next step is due.
-			if !a.answered {
-				r.endHandover(a, HandoverOutcome{Allowed: a.allowed})
-			}
-			switch {
-			case !h.allEnded():
-			case h.direct:
-				r.resumeDirectly(h, now)
-			default:
-				h.nextStepAt = now
-			}
-		}
-	}
-	if !h.nextStepAt.IsZero() && !now.Before(h.nextStepAt) {
-		r.advanceHandovers(now)
-	}
-}
-
-func (h *handedParts) find(d *delegation) *holderAsked {
-	for _, a := range h.asked {
-		if a.delegation == d {
-			return a
-		}
-	}
-	return nil
-}
-
-// allEnded reports whether nothing more can come from the holders.
-func (h *handedParts) allEnded() bool {
-	for _, a := range h.asked {
-		if !a.ended && !a.failed {
-			return false
-		}
-	}
-	return true
-}
-
-func (r *run) isMissingAny(h *handedParts) bool {
-	for _, i := range h.parts {
-		if !r.parts[i].closed {
-			return true
-		}
-	}
-	return false
-}
-
-// mergeHolderResults applies results of a holder.
-func (r *run) mergeHolderResults(h *handedParts, a *holderAsked, p Partial, now time.Time) {
-	if !isConsistent(a.parts, p) {
-		return
-	}
-	r.stats.ConnectionsLost += p.Lost
-	if r.mergeDone(a, p) {
-		a.answered = true
-		a.merged += len(p.Done)
-		if 2*a.merged >= len(h.parts) && a.mostAt.IsZero() {
-			a.mostAt = now
-		}
-	}
-	for j, k := range p.Late {
-		// An older build leaves hedges to the requester.
-		part := &r.parts[a.parts[k]]
-		part.markTried(p.LateServers[j])
-		r.startCall(a.parts[k], now)
-	}
-	r.applyFailed(h, a, p)
-	switch {
-	case len(p.Failed) > 0 && a.failed:
-		if h.allEnded() {
-			h.nextStepAt = now
-		}
-	case a.answered:
-		h.nextStepAt = time.Time{}
-	}
-}
-
-// applyFailed closes the parts that the holder could not get. If the search can't succeed
-// without them the next step is due: the holder may be cut off from the servers.
-func (r *run) applyFailed(h *handedParts, a *holderAsked, p Partial) {
-	open := 0
-	for _, k := range p.Failed {
-		a.failedParts = append(a.failedParts, a.parts[k])
-	}
-	for _, i := range a.failedParts {
-		if !r.parts[i].closed {
-			open++
-		}
-	}
-	if r.repliedParts+r.pendingParts-open < r.minParts() {
-		a.failed = true
-	}
-	if a.failed && !h.direct || !h.othersEnded(a) {
-		return
-	}
-	for _, i := range a.failedParts {
-		part := &r.parts[i]
-		if !part.closed && len(part.calls) == 0 {
-			part.gathering = false
-			r.close(part)
-		}
-	}
-}
-
-// othersEnded reports whether nothing more can come from other holders.
-func (h *handedParts) othersEnded(a *holderAsked) bool {
-	for _, other := range h.asked {
-		if other != a && !other.ended && !other.failed {
-			return false
-		}
-	}
-	return true
-}
-
-// isConsistent reports whether results are consistent and name only parts that the holder
-// was asked for.
-func isConsistent(parts []int, p Partial) bool {
-	if len(p.Done) != len(p.Proofs) || len(p.Late) != len(p.LateServers) || len(p.Failed) != len(p.FailedServers) {
-		return false
-	}
-	seen := make(map[int]bool, len(p.Done))
-	for _, list := range [][]int{p.Done, p.Late, p.Failed} {
-		for _, k := range list {
-			if k < 0 || k >= len(parts) || seen[k] {
-				return false
-			}
-			seen[k] = true
-		}
-	}
-	return true
-}
-
-// mergeDone takes merged results. Merged results can't be split up, so they replace
-// earlier ones if they have all of their parts, and are dropped if they have only some.
-func (r *run) mergeDone(a *holderAsked, p Partial) bool {
-	if len(p.Done) == 0 {
-		return false
-	}
-	isDone := make(map[int]bool, len(p.Done))
-	merged := &mergedParts{proofs: p.Proofs, records: p.Records}
-	isNew := false
-	for _, k := range p.Done {
-		i := a.parts[k]
-		isDone[i] = true
-		merged.parts = append(merged.parts, i)
-		isNew = isNew || !r.parts[i].closed || r.parts[i].reply == nil && r.parts[i].merged == nil
-	}
-	for _, i := range merged.parts {
-		if other := r.parts[i].merged; other != nil {
-			for _, j := range other.parts {
-				if !isDone[j] {
-					return true
-				}
-			}
-		}
-	}
-	if !isNew {
-		return true
-	}
-	for _, i := range merged.parts {
-		part := &r.parts[i]
-		if part.reply == nil && part.merged == nil {
-			r.repliedParts++
-		}
-		part.gathering, part.reply, part.merged = false, nil, merged
-		r.close(part)
-	}
-	return true
-}
-
 // advanceHandovers takes the next step for parts of which nothing has come in time: it
 // asks another holder, or calls servers directly, as far as the retry budget allows.
 func (r *run) advanceHandovers(now time.Time) {
@@ -549,46 +254,3 @@
 		}
 	}
 }
-
-// endHandover reports how a hand-over ended, once.
-func (r *run) endHandover(a *holderAsked, o HandoverOutcome) {
-	if !a.reported {
-		a.reported = true
-		r.handover.End(a.address, o)
-	}
-}
-
-// reportHandovers reports the hand-overs that were not reported yet.
-func (r *run) reportHandovers(now time.Time) {
-	for _, h := range r.handed {
-		for _, a := range h.asked {
-			took := now.Sub(a.askedAt)
-			if !a.mostAt.IsZero() {
-				took = a.mostAt.Sub(a.askedAt)
-			}
-			r.endHandover(a, HandoverOutcome{
-				Answered: a.answered, Took: took, Allowed: a.allowed,
-				Undecided: !a.answered && float64(took) < secondHolderShare*float64(a.allowed),
-			})
-		}
-	}
-}
-
-// acquireRestricted is as acquireServer among the servers that all instances use that may
-// run the search, so that a request is sent to as many servers of a shard as the route
-// permits.
-func (r *run) acquireRestricted(p *part, hedge bool, now time.Time) *balance.Server {
-	beyond := p.service.ServersBeyond(r.restricted.n, r.restricted.home, r.restricted.requestID, now)
-	if p.awaitsConnection {
-		return p.service.AcquireConnectedExcept(beyond, now)
-	}
-	s := p.service.Acquire(append(beyond[:len(beyond):len(beyond)], p.tried...), now)
-	if s != nil && hedge && s.HasOverdueCall() {
-		p.service.Release(s)
-		return nil
-	}
-	if s == nil && !hedge && len(p.tried) > 0 {
-		s = p.service.Acquire(beyond, now)
-	}
-	return s
-}
--- a/lentilward/scatter/hold.go
+++ b/lentilward/scatter/hold.go
@@ -27,7 +27,12 @@
 	defer hold.Release()
 	request := *g.Request
 	request.TimeLeft = g.TimeLeft
-	r := newRun(ctx, e, Task{Request: &request, Route: route, State: state, Admission: admission, Services: services, Begin: begin, Hold: hold})
+	task := Task{Request: &request, Route: route, State: state, Admission: admission, Services: services, Begin: begin, Hold: hold}
+	if terms.Tenant != "" {
+		// The rank of the request is the priority of the route here.
+		task.Tenant = &domain.Tenant{Name: terms.Tenant}
+	}
+	r := newRun(ctx, e, task)
 	defer r.finish()
 	r.earlyAnswerAt = begin.Add(terms.AnswerIn)
 	r.minHedgeDelay = g.HedgeAfter
