Let starting instances of a large fleet learn all members at once

Cause: after a common start of 111 instances the last one knew all members only after more than 10 s, so instances disagreed on holders, and without a record of the fleet each opened a connection to every server. Change: instances that know 32 members or more tell how many; a reply to one that knows far fewer carries up to 150 members. A search waits shortly for a connection to a holder before it is called directly.

--- a/lentilward/blackboard/members.go
+++ b/lentilward/blackboard/members.go
@@ -53,6 +53,9 @@
 	// MissingSeeds is the number of seed addresses at which no member is recorded:
 	// none was ever found there, or its record has expired.
 	MissingSeeds int
+	// ToldCount is the largest number of members that another instance has told; 0 if none
+	// knows many.
+	ToldCount int
 	// HasMajority reports whether this instance recently received messages from
 	// more than half of all instances, itself included. Members that left
 	// gracefully are not counted; missing seeds are.
--- a/lentilward/fleet_size.go
+++ b/lentilward/fleet_size.go
@@ -72,7 +72,7 @@
 func (f *fleetSize) size() int {
 	n := f.known()
 	if time.Since(f.started) < discoveryPeriod {
-		n = max(n, f.minInitial)
+		n = max(n, f.minInitial, f.board.Members.Load().ToldCount)
 	}
 	if record := f.missing(); record != nil {
 		n = max(n, record.Instances)
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -135,7 +135,7 @@
 	g.prober.OnSameRevision = g.follower.MarkCurrent
 	g.peers.Ping = func(ctx context.Context, gossip member.Gossip) member.Gossip {
 		g.prober.HandleGossip(context.WithoutCancel(ctx), gossip)
-		return g.table.Reply(gossip.From.Name)
+		return g.table.ReplyTo(gossip)
 	}
 	g.peers.Probe = func(ctx context.Context, target netip.AddrPort) error {
 		_, err := g.links.Ping(ctx, target, g.table.NextGossip())
--- a/lentilward/gateway_holder.go
+++ b/lentilward/gateway_holder.go
@@ -256,6 +256,7 @@
 	handover.Choose = func(group int, asked []netip.AddrPort) (netip.AddrPort, bool, bool) {
 		return h.choose(plan, groups[group], asked)
 	}
+	handover.IsConnecting = func(group int) bool { return h.isConnecting(plan, groups[group]) }
 	handover.KeepCredit = sync.OnceValue(func() bool { return h.keepCredit(key) })
 	handover.Spend = func(int, time.Time) bool { return h.spend(plan, key) }
 	handover.Refund = func(int, time.Time) { h.rescue(key).budget.Refund(time.Now()) }
@@ -283,6 +284,16 @@
 	return netip.AddrPort{}, false, false
 }
 
+// isConnecting reports whether a holder of a group is alive to which no connection is
+// open: choose opens one.
+func (h *holders) isConnecting(plan *holder.Plan, group int) bool {
+	members := h.board.Members.Load()
+	return slices.ContainsFunc(plan.Holders(group, h.dataCentre), func(m holder.Member) bool {
+		member, _ := members.Find(m.Name)
+		return m.Name != members.Self && member.State == blackboard.Alive && !h.isConnected(m.Address)
+	})
+}
+
 // usable returns the holders that may be asked now, and connects to those that may be
 // soon. Remembered ones that are no members yet count as alive.
 func (h *holders) usable(list []holder.Member, worst blackboard.MemberState, asked []netip.AddrPort) []holder.Member {
--- a/lentilward/holders_test.go
+++ b/lentilward/holders_test.go
@@ -280,3 +280,29 @@
 		}
 	})
 }
+
+// Guards against a common start without a record in which instances open connections to
+// all servers before they know how many they are.
+func TestFirstStartOpensFewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxConnections, instances = 30, 45
+		p := newScarcePlatform(t, maxConnections)
+		fleet := p.start(t, instances)
+		first := p.search(fleet, 2*time.Second)
+		later := p.search(fleet, 5*time.Second)
+		opened, largest := p.opened(), 0
+		for _, s := range p.servers {
+			largest = max(largest, s.largest)
+		}
+		t.Logf("answered %.3f in the first 2 s, %.3f later; %d connections opened, at most %d at once", first, later, opened, largest)
+		if first < 0.9 || later < 1 {
+			t.Errorf("answered %.3f in the first 2 s, %.3f later", first, later)
+		}
+		if largest > maxConnections {
+			t.Errorf("%d connections to a server that accepts %d", largest, maxConnections)
+		}
+		if held := holdersAmong(fleet); len(held) != 4 {
+			t.Errorf("holders %v", held)
+		}
+	})
+}
--- a/lentilward/member/prober.go
+++ b/lentilward/member/prober.go
@@ -167,6 +167,9 @@
 // OnSameRevision according to the sender's revision.
 func (p *Prober) HandleGossip(ctx context.Context, g Gossip) {
 	p.table.Receive(g)
+	if p.table.IsBehind(g) {
+		p.GossipNow()
+	}
 	switch own := p.table.Revision(); {
 	case g.From.Revision > own:
 		go p.OnNewerRevision(ctx, g.From.Address, g.From.Revision)
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -44,6 +44,9 @@
 	// CPUShares has the shares of a core, in thousandths, of the sender and of the members
 	// in Updates that tell theirs, by name.
 	CPUShares map[string]uint32 `cbor:"cpu-shares,omitempty"`
+	// Known is the number of members that the sender knows, itself included; 0 in small
+	// fleets.
+	Known int `cbor:"known,omitempty"`
 }
 
 // Table holds this instance's view of the members. It is the only writer of the
@@ -64,6 +67,8 @@
 	lastChange time.Time
 	// majoritySince is zero while this instance has no majority.
 	majoritySince time.Time
+	// told is the largest number of members that a message has told.
+	told int
 }
 
 type entry struct {
@@ -167,6 +172,7 @@
 	if e := t.randomMember(); e != nil && len(pending) < maxUpdatesPerMessage {
 		g.Updates = append(g.Updates, e.Member)
 	}
+	g.Known = t.toldCount()
 	g.addCPUShares()
 	return g
 }
@@ -200,6 +206,7 @@
 		t.mergeUpdate(m)
 	}
 	t.mergeCPUShares(g.CPUShares)
+	t.told = max(t.told, min(g.Known, maxToldMembers))
 	t.publish()
 }
 
@@ -318,7 +325,7 @@
 
 // publish writes the Members cell. The caller holds mu.
 func (t *Table) publish() {
-	view := &blackboard.Members{Self: t.self.Name, LastChange: t.lastChange, MissingSeeds: t.countMissingSeeds()}
+	view := &blackboard.Members{Self: t.self.Name, LastChange: t.lastChange, MissingSeeds: t.countMissingSeeds(), ToldCount: t.told}
 	t.updateMajority(view.MissingSeeds)
 	view.HasMajority, view.MajoritySince = !t.majoritySince.IsZero(), t.majoritySince
 	view.List = append(view.List, t.localMember())
--- a/lentilward/scatter/handover.go
+++ b/lentilward/scatter/handover.go
@@ -20,6 +20,9 @@
 	// come, and directCallShare the same share of what is left then.
 	secondHolderShare = 0.55
 	directCallShare   = 0.65
+	// connectWaitShare is the share of the time until the answer for which a search waits
+	// for a connection to a holder before servers are called directly.
+	connectWaitShare = 0.2
 	// maxHolderTime bounds the time allowed on routes without a target latency.
 	maxHolderTime = 500 * time.Millisecond
 	// maxHoldersAsked bounds the holders that are asked to run the same parts.
@@ -38,10 +41,9 @@
 	for group, parts := range r.handover.Groups {
 		h := &handedParts{group: group, parts: parts}
 		if !r.askHolder(h, now) {
-			if r.mayCallMost(h) {
+			if r.mayCallMost(h) && !r.handover.IsConnecting(group) {
 				continue
 			}
-			// The connections to the holders may be open soon.
 			h.nextStepAt = now.Add(recheckDelay)
 		}
 		r.handed = append(r.handed, h)
@@ -180,7 +182,8 @@
 	if r.askHolder(h, now) {
 		return
 	}
-	if now.Sub(r.task.Begin) < r.earlyAnswerAt.Sub(now) {
+	waited, left := now.Sub(r.task.Begin), r.earlyAnswerAt.Sub(now)
+	if waited < left && !(r.mayCallMost(h) && float64(waited) > connectWaitShare*float64(waited+left)) {
 		h.nextStepAt = now.Add(recheckDelay)
 		return
 	}
--- a/lentilward/scatter/handover_terms.go
+++ b/lentilward/scatter/handover_terms.go
@@ -15,6 +15,8 @@
 	DataCentre string
 	// Choose chooses a holder for a group, other than those that were asked.
 	Choose func(group int, asked []netip.AddrPort) (holder netip.AddrPort, far, ok bool)
+	// IsConnecting reports whether a connection to a holder of a group is being opened.
+	IsConnecting func(group int) bool
 	// KeepCredit reports whether the first calls of the search count for the retry budget
 	// of this instance and not for that of the holder.
 	KeepCredit func() bool
--- a/lentilward/scatter/handover_test.go
+++ b/lentilward/scatter/handover_test.go
@@ -151,6 +151,7 @@
 	}{
 		"both frozen": {func(f *holderFleet) { f.holders[0].silentAfter, f.holders[1].silentAfter = 0, 0 }, 45 * time.Millisecond},
 		"alone":       {func(f *holderFleet) { f.holders = nil }, 10 * time.Millisecond},
+		"connecting":  {func(f *holderFleet) { f.unconnected.Store(true) }, 20 * time.Millisecond},
 		"no connection to holders": {func(f *holderFleet) {
 			f.asker.StartGather = func(netip.AddrPort, Gather, func(Partial), func(error)) (func(bool), error) {
 				return nil, errors.New("closed")
@@ -193,14 +194,13 @@
 func TestInstanceWithoutConnectionsWaitsShortlyForAHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newHolderFleet(t, serversFor(30, replyIn(4*time.Millisecond)), false)
-		holders := f.holders
-		f.holders = nil
-		time.AfterFunc(15*time.Millisecond, func() { f.holders = holders })
+		f.unconnected.Store(true)
+		time.AfterFunc(15*time.Millisecond, func() { f.unconnected.Store(false) })
 		answer, _, refusal, took := f.run(handoverRoute(30))
 		if refusal != nil || answer.MissingShards > 0 || took > 43*time.Millisecond {
 			t.Fatalf("answer %+v, refusal %v, took %v", answer, refusal, took)
 		}
-		f.holders = nil
+		f.unconnected.Store(true)
 		if _, _, refusal, took = f.run(handoverRoute(30)); refusal == nil || refusal.Outcome != domain.NotRun || took > 60*time.Millisecond {
 			t.Fatalf("refusal %+v after %v", refusal, took)
 		}
--- a/lentilward/scatter/holder_fake_test.go
+++ b/lentilward/scatter/holder_fake_test.go
@@ -29,6 +29,8 @@
 	outcomes map[netip.AddrPort][]HandoverOutcome
 	steps    []HandoverStep
 	frames   atomic.Int32
+	// unconnected is set while no connection to a holder is open.
+	unconnected atomic.Bool
 }
 
 // testHolder is an instance that runs searches for others.
@@ -91,6 +93,9 @@
 	return &Handover{
 		Groups: [][]int{parts}, DataCentre: "z0", SlackShare: func() float64 { return 1 },
 		Choose: func(_ int, asked []netip.AddrPort) (netip.AddrPort, bool, bool) {
+			if f.unconnected.Load() {
+				return netip.AddrPort{}, false, false
+			}
 			for _, h := range f.holders {
 				if !slices.Contains(asked, h.address) {
 					return h.address, false, true
@@ -98,7 +103,8 @@
 			}
 			return netip.AddrPort{}, false, false
 		},
-		KeepCredit: func() bool { return false },
+		IsConnecting: func(int) bool { return f.unconnected.Load() },
+		KeepCredit:   func() bool { return false },
 		Spend: func(int, time.Time) bool {
 			f.budget--
 			return f.budget >= 0
