Ask large holders first and keep one order of servers per data centre

Cause: small machines opened connections ahead that they hardly used, and the second server of a shard differed from request to request, so that each holder needed connections to the servers of both other data centres. Change: holders with half of the largest share of a core or more are asked first, open connections ahead and run searches of their own callers; small ones are spare. The order of servers depends on the data centre of the first holder and the service.

--- a/lentilward/balance/order.go
+++ b/lentilward/balance/order.go
@@ -9,10 +9,11 @@
 )
 
 // ServersBeyond returns the servers that a request must not be sent to so that it is sent
-// to at most n, whichever instances run it: those beyond the first n in an order that
-// depends on the request only. Servers in the data centre home come first. Servers that
-// can't be called don't count.
-func (s *Service) ServersBeyond(n int, home, requestID string, now time.Time) []*Server {
+// to at most n, whichever instances run it: those beyond the first n in an order in which
+// servers in the data centre home come first. The order of the others is the same for all
+// requests from there, so that few connections are needed. Servers that can't be called
+// don't count.
+func (s *Service) ServersBeyond(n int, home string, now time.Time) []*Server {
 	servers := s.Servers()
 	if len(servers) <= n {
 		return nil
@@ -31,7 +32,7 @@
 		if server.DataCentre != home {
 			far = 1
 		}
-		list = append(list, ordered{server, far, xxhash.Sum64String(requestID + "\x00" + server.ID)})
+		list = append(list, ordered{server, far, xxhash.Sum64String(home + "\x00" + s.Name + "\x00" + server.ID)})
 	}
 	if len(list) <= n {
 		return nil
--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -37,6 +37,8 @@
 	client  *platform.Store
 	// respond is the handler of the backend server.
 	respond http.HandlerFunc
+	// dataCentre returns the data centre of an instance; nil for z1.
+	dataCentre func(number int) string
 }
 
 func newMemoryPlatform(t *testing.T) *memoryPlatform {
@@ -96,6 +98,9 @@
 	host := fmt.Sprintf("10.0.0.%d", number)
 	dial := p.network.dialFrom(host)
 	o := &Options{Name: fmt.Sprintf("n%d", number), DataCentre: "z1", Peers: seeds}
+	if p.dataCentre != nil {
+		o.DataCentre = p.dataCentre(number)
+	}
 	for port, address := range []*netip.AddrPort{&o.Listen.HTTP, &o.Listen.Readiness, &o.Listen.Peers, &o.Listen.Monitor} {
 		*address = netip.AddrPortFrom(netip.MustParseAddr(host), uint16(8100+port))
 	}
--- a/lentilward/gateway_gather.go
+++ b/lentilward/gateway_gather.go
@@ -124,7 +124,7 @@
 	if request.Handover != nil {
 		g.holders.run.Add(1)
 		g.log.Debug("running a search for a peer", "request-id", request.Request.ID, "route", request.Route, "parts", len(services),
-			"data-centre", request.Handover.DataCentre, "due-in", request.Handover.AnswerIn, "attempts", request.Handover.Attempts)
+			"home", request.Handover.Home, "due-in", request.Handover.AnswerIn, "attempts", request.Handover.Attempts)
 	}
 	g.engine.Gather(ctx, request, state, snapshot.Admissions[request.Route], services, emit)
 }
--- a/lentilward/gateway_holder.go
+++ b/lentilward/gateway_holder.go
@@ -205,8 +205,8 @@
 
 // connectionLimit returns the limit of connections to a server.
 func (h *holders) connectionLimit(service, dataCentre string, maxConnections int) (limit int, ahead, ok bool) {
-	if limit, held, ok := h.plan.Load().Limit(service, dataCentre); ok {
-		return limit, held, true
+	if limit, ahead, ok := h.plan.Load().Limit(service, dataCentre); ok {
+		return limit, ahead, true
 	}
 	// An instance that has just started where many others may start as well opens few
 	// connections until it knows how many there are.
@@ -245,7 +245,7 @@
 	var groups []int
 	handover := &scatter.Handover{DataCentre: h.dataCentre, SlackShare: h.slackShare}
 	for _, part := range parts {
-		if !plan.Holds(part.Group) {
+		if !plan.RunsOwn(part.Group) {
 			groups = append(groups, part.Group)
 			handover.Groups = append(handover.Groups, part.Services)
 		}
@@ -253,7 +253,7 @@
 	if len(groups) == 0 {
 		return handover
 	}
-	handover.Choose = func(group int, asked []netip.AddrPort) (netip.AddrPort, bool, bool) {
+	handover.Choose = func(group int, asked []netip.AddrPort) (netip.AddrPort, string, bool) {
 		return h.choose(plan, groups[group], asked)
 	}
 	handover.IsConnecting = func(group int) bool { return h.isConnecting(plan, groups[group]) }
@@ -273,15 +273,15 @@
 
 // choose chooses a holder of a group that was not asked and to which a connection is open.
 // Holders that are suspected to be lost are used if there are no others.
-func (h *holders) choose(plan *holder.Plan, group int, asked []netip.AddrPort) (address netip.AddrPort, far, ok bool) {
+func (h *holders) choose(plan *holder.Plan, group int, asked []netip.AddrPort) (address netip.AddrPort, dataCentre string, ok bool) {
 	for _, worst := range []blackboard.MemberState{blackboard.Alive, blackboard.Suspected} {
 		near := h.usable(plan.Holders(group, h.dataCentre), worst, asked)
 		elsewhere := h.usable(plan.HoldersElsewhere(group, h.dataCentre), worst, asked)
 		if choice, ok := h.chooser.Choose(near, elsewhere, time.Now()); ok {
-			return choice.Member.Address, choice.Far, true
+			return choice.Address, choice.DataCentre, true
 		}
 	}
-	return netip.AddrPort{}, false, false
+	return netip.AddrPort{}, "", false
 }
 
 // isConnecting reports whether a holder of a group is alive to which no connection is
--- a/lentilward/holder/chooser.go
+++ b/lentilward/holder/chooser.go
@@ -27,9 +27,12 @@
 	// inFlightWeight is the weight of a search in flight at a holder with the average
 	// share of a core.
 	inFlightWeight = 0.25
-	// spillRatio is the cost of the best holder in this data centre above which one in
-	// another may be used.
+	// spillRatio is the cost of the best large holder in this data centre above which small
+	// ones, and those in other data centres, may be used.
 	spillRatio = 0.75
+	// smallFactor is the additional cost of a small holder: its searches wait for
+	// processor time, and its connections may not be open.
+	smallFactor = 1.5
 	// choiceExponent is the exponent of the share of a core in the weight of a holder: small
 	// machines run the calls of a search one after another over several periods.
 	choiceExponent = 2
@@ -63,23 +66,47 @@
 	return &Chooser{measured: make(map[netip.AddrPort]*measurement), random: rand.Float64}
 }
 
-// Choose chooses one of the holders in this data centre, or of those elsewhere if none
-// of these has spare capacity. ok is false if there is none.
-func (c *Chooser) Choose(near, far []Member, now time.Time) (_ Choice, ok bool) {
+// Choose chooses one of the large holders in this data centre, or of the small ones or
+// those elsewhere if none of these has spare capacity. ok is false if there is none.
+func (c *Chooser) Choose(near, far []Member, now time.Time) (choice Member, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n, nearCost, found := c.pick(near, now)
-	if found && nearCost <= spillRatio {
-		return Choice{Member: n}, true
-	}
-	f, farCost, farFound := c.pick(far, now)
-	switch {
-	case farFound && (!found || farCost*farFactor < nearCost):
-		return Choice{Member: f, Far: true}, true
-	case found:
-		return Choice{Member: n}, true
-	}
-	return Choice{}, false
+	large, small := splitBySize(near)
+	best, bestCost, found := c.pick(large, now)
+	choice = best
+	if found && bestCost <= spillRatio {
+		return choice, true
+	}
+	if m, cost, ok := c.pick(far, now); ok && (!found || cost*farFactor < bestCost) {
+		choice, bestCost, found = m, cost*farFactor, true
+	}
+	if m, cost, ok := c.pick(small, now); ok && (!found || cost*smallFactor < bestCost) {
+		choice, found = m, true
+	}
+	return choice, found
+}
+
+// splitBySize splits members into those with about as large a share of a core as the
+// largest, and the others.
+func splitBySize(members []Member) (large, small []Member) {
+	average := averageShare(members)
+	for _, m := range members {
+		if isLarge(m, members, average) {
+			large = append(large, m)
+		} else {
+			small = append(small, m)
+		}
+	}
+	return large, small
+}
+
+// isLarge reports whether a member has at least half of the largest share of a core.
+func isLarge(m Member, members []Member, average float64) bool {
+	largest := 0.0
+	for _, other := range members {
+		largest = max(largest, shareOf(other, average))
+	}
+	return shareOf(m, average) >= largest/2
 }
 
 // pick draws two members by weight and returns the one with the lower cost. Members that
--- a/lentilward/holder/holder.go
+++ b/lentilward/holder/holder.go
@@ -90,13 +90,6 @@
 	Services []int
 }
 
-// Choice is the choice of one holder.
-type Choice struct {
-	Member Member
-	// Far is set if the holder is in another data centre.
-	Far bool
-}
-
 // Outcome is how a hand-over ended.
 type Outcome struct {
 	// Answered is set if the holder has sent results, after the time Took.
--- a/lentilward/holder/plan.go
+++ b/lentilward/holder/plan.go
@@ -30,8 +30,9 @@
 	holderCount int
 	// holders are the holders in each data centre, in order of their rank.
 	holders map[string][]Member
-	// held is set if this instance is one of them.
-	held bool
+	// held is set if this instance is one of them, and ahead if it is one of the large ones,
+	// which are asked first: only these open connections ahead.
+	held, ahead bool
 }
 
 type servicePlan struct {
@@ -216,6 +217,7 @@
 			holders[m.Name] = true
 			if m.Name == in.Self && !in.Minority {
 				p.groups[i].held = true
+				p.groups[i].ahead = isLarge(m, ranked, averageShare(ranked))
 			}
 		}
 	}
@@ -251,8 +253,9 @@
 	return p.searches[searchKey]
 }
 
-// Holds reports whether this instance is a holder of a group.
-func (p *Plan) Holds(group int) bool { return p.groups[group].held }
+// RunsOwn reports whether this instance runs the searches of a group itself that callers
+// send to it: as one of the large holders. Small ones hand them over as others do.
+func (p *Plan) RunsOwn(group int) bool { return p.groups[group].ahead }
 
 // HoldsAny reports whether this instance is a holder of any group.
 func (p *Plan) HoldsAny() bool {
@@ -300,9 +303,9 @@
 }
 
 // Limit returns how many connections this instance may have to a server of a service in
-// a data centre. held is set if it is a holder of them. ok is false if the plan does not
-// limit the service.
-func (p *Plan) Limit(service, dataCentre string) (limit int, held, ok bool) {
+// a data centre. ahead is set if it is to open them ahead of calls. ok is false if the plan
+// does not limit the service.
+func (p *Plan) Limit(service, dataCentre string) (limit int, ahead, ok bool) {
 	if p == nil {
 		return 0, false, false
 	}
@@ -312,12 +315,13 @@
 	}
 	for _, g := range s.groups {
 		if p.groups[g].held {
-			limit, held = limit+s.division.PerHolder, true
+			limit += s.division.PerHolder
+			ahead = ahead || p.groups[g].ahead
 		}
 	}
 	switch {
-	case held:
-		return limit, true, true
+	case limit > 0:
+		return limit, ahead, true
 	case s.Direct:
 		return 1, false, true
 	case p.mayCallDirectly(service, dataCentre, s):
--- a/lentilward/holders_test.go
+++ b/lentilward/holders_test.go
@@ -306,3 +306,37 @@
 		}
 	})
 }
+
+// Guards against searches without an answer, and connections above the cap, while two data
+// centres are cut off from each other and a third reaches both.
+func TestDataCentresCutOffFromEachOtherHaveHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxConnections, instances = 24, 36
+		p := newScarcePlatform(t, maxConnections)
+		p.dataCentre = func(number int) string { return fmt.Sprint("z", 1+number%3) }
+		fleet := p.start(t, instances)
+		time.Sleep(20 * time.Second)
+		dataCentreOf := make(map[string]string)
+		for number := 1; number <= instances; number++ {
+			dataCentreOf[fmt.Sprintf("10.0.0.%d", number)] = p.dataCentre(number)
+		}
+		p.network.cut(func(a, b string) bool {
+			return dataCentreOf[a] == "z1" && dataCentreOf[b] == "z2" || dataCentreOf[a] == "z2" && dataCentreOf[b] == "z1"
+		})
+		first := p.search(fleet, 4*time.Second)
+		later := p.search(fleet, 6*time.Second)
+		p.network.cut(nil)
+		after := p.search(fleet, 4*time.Second)
+		largest := 0
+		for _, s := range p.servers {
+			largest = max(largest, s.largest)
+		}
+		t.Logf("answered %.3f in the first 4 s, %.3f later, %.3f after the cut; at most %d connections to a server", first, later, after, largest)
+		if first < 0.98 || later < 0.99 || after < 0.99 {
+			t.Errorf("answered %.3f in the first 4 s, %.3f later, %.3f after the cut", first, later, after)
+		}
+		if largest > maxConnections {
+			t.Errorf("%d connections to a server that accepts %d", largest, maxConnections)
+		}
+	})
+}
--- a/lentilward/scatter/handover.go
+++ b/lentilward/scatter/handover.go
@@ -60,7 +60,7 @@
 	if len(r.handed) > 0 {
 		// What the queues of the servers are like shows at the holders.
 		r.reported = true
-		r.restricted = &serverOrder{home: r.handover.DataCentre, requestID: r.task.Request.ID, n: r.task.Route.MaxAttempts}
+		r.restrict(r.handover.DataCentre)
 	}
 }
 
@@ -97,11 +97,11 @@
 		asked = append(asked, a.address)
 	}
 	for range maxHoldersAsked {
-		holder, far, ok := r.handover.Choose(h.group, asked)
+		holder, dataCentre, ok := r.handover.Choose(h.group, asked)
 		if !ok {
 			return false
 		}
-		if r.startHandover(h, holder, far, now) {
+		if r.startHandover(h, holder, dataCentre, now) {
 			return true
 		}
 		asked = append(asked, holder)
@@ -109,13 +109,17 @@
 	return false
 }
 
-func (r *run) startHandover(h *handedParts, holder netip.AddrPort, far bool, now time.Time) bool {
+func (r *run) startHandover(h *handedParts, holder netip.AddrPort, dataCentre string, now time.Time) bool {
 	route, second := r.task.Route, len(h.asked) > 0
-	allowed := r.timeForHolder(far, now)
+	allowed := r.timeForHolder(dataCentre != r.handover.DataCentre, now)
+	home := dataCentre
+	if r.restricted != nil {
+		home = r.restricted.home
+	}
 	terms := &HandoverTerms{
 		Attempts: route.MaxAttempts, AnswerIn: allowed, Target: route.TargetLatency, Coverage: route.MinCoverage,
 		// The calls of a second holder are charged to this instance as extra calls.
-		DataCentre: r.handover.DataCentre, Credited: second || r.handover.KeepCredit(),
+		Home: home, Credited: second || r.handover.KeepCredit(),
 	}
 	g := Gather{
 		Request: r.task.Request, Route: route.Name, Rank: r.task.priority(), Results: route.MaxRecords,
@@ -136,6 +140,7 @@
 		return false
 	}
 	d.cancel = cancel
+	r.restrict(home)
 	r.handover.Begin(holder)
 	r.delegations = append(r.delegations, d)
 	h.asked = append(h.asked, a)
--- a/lentilward/scatter/handover_terms.go
+++ b/lentilward/scatter/handover_terms.go
@@ -14,7 +14,7 @@
 	// DataCentre is the data centre of this instance.
 	DataCentre string
 	// Choose chooses a holder for a group, other than those that were asked.
-	Choose func(group int, asked []netip.AddrPort) (holder netip.AddrPort, far, ok bool)
+	Choose func(group int, asked []netip.AddrPort) (holder netip.AddrPort, dataCentre string, ok bool)
 	// IsConnecting reports whether a connection to a holder of a group is being opened.
 	IsConnecting func(group int) bool
 	// KeepCredit reports whether the first calls of the search count for the retry budget
@@ -66,8 +66,8 @@
 	// Target and Coverage are the target latency and the least share of parts.
 	Target   time.Duration `cbor:"target,omitempty"`
 	Coverage float64       `cbor:"coverage,omitempty"`
-	// DataCentre is the data centre of the requester.
-	DataCentre string `cbor:"data-centre"`
+	// Home is the data centre whose servers come first among those that are called.
+	Home string `cbor:"home"`
 	// Tenant is the name of the tenant that sent the request; empty if it is not known.
 	Tenant string `cbor:"tenant,omitempty"`
 	// Credited is set if the first calls count already for the retry budget of the
--- a/lentilward/scatter/hold.go
+++ b/lentilward/scatter/hold.go
@@ -37,7 +37,7 @@
 	r.earlyAnswerAt = begin.Add(terms.AnswerIn)
 	r.minHedgeDelay = g.HedgeAfter
 	r.slackShare = e.HolderShare
-	r.restricted = &serverOrder{home: terms.DataCentre, requestID: request.ID, n: route.MaxAttempts}
+	r.restrict(terms.Home)
 	if refusal := r.checkLimit(begin); refusal != nil {
 		emit(Partial{Last: true, Refused: true, RetryAfter: refusal.RetryAfter})
 		return
--- a/lentilward/scatter/restrict.go
+++ b/lentilward/scatter/restrict.go
@@ -6,19 +6,26 @@
 	"lentilward.org/lentilward/balance"
 )
 
-// serverOrder restricts the servers of a search to those that every instance that may
-// run it uses.
+// serverOrder restricts the servers of a search to the first n in an order that begins with
+// those in the data centre home. Every instance that may run the search uses the same.
 type serverOrder struct {
-	home      string
-	requestID string
-	n         int
+	home string
+	n    int
+}
+
+// restrict restricts the servers of the search unless they are restricted already. home is
+// the data centre of the holder that is asked first.
+func (r *run) restrict(home string) {
+	if r.restricted == nil {
+		r.restricted = &serverOrder{home: home, n: r.task.Route.MaxAttempts}
+	}
 }
 
 // acquireRestricted is as acquireServer among the servers that all instances use that may
 // run the search, so that a request is sent to as many servers of a shard as the route
 // permits.
 func (r *run) acquireRestricted(p *part, hedge bool, now time.Time) *balance.Server {
-	beyond := p.service.ServersBeyond(r.restricted.n, r.restricted.home, r.restricted.requestID, now)
+	beyond := p.service.ServersBeyond(r.restricted.n, r.restricted.home, now)
 	if p.awaitsConnection {
 		return p.service.AcquireConnectedExcept(beyond, now)
 	}
