Give the slack of retry budgets to the holders that make the calls

Cause: small holders, which are spare, had the same part of the slack as large ones, so that half of what holders may use for hedges was never used.

--- a/lentilward/holder/plan.go
+++ b/lentilward/holder/plan.go
@@ -19,7 +19,9 @@
 	// directCount their number.
 	directRank, directCount int
 	// HolderCount is the number of different holders in all groups.
-	HolderCount      int
+	HolderCount int
+	// largeCount is the number of those that are large in any group.
+	largeCount       int
 	maxGroupServices int
 }
 
@@ -65,11 +67,11 @@
 	if len(p.searches) == 0 {
 		return nil
 	}
-	holders := make(map[string]bool)
+	holders, large := make(map[string]bool), make(map[string]bool)
 	for i := range p.groups {
-		p.chooseHolders(i, dataCentres, in, holders)
+		p.chooseHolders(i, dataCentres, in, holders, large)
 	}
-	p.HolderCount = len(holders)
+	p.HolderCount, p.largeCount = len(holders), len(large)
 	p.rankDirect(dataCentres[p.self.DataCentre], in, holders)
 	return p
 }
@@ -207,17 +209,21 @@
 	}
 }
 
-func (p *Plan) chooseHolders(i int, dataCentres map[string][]Member, in Input, holders map[string]bool) {
+func (p *Plan) chooseHolders(i int, dataCentres map[string][]Member, in Input, holders, large map[string]bool) {
 	n := p.groups[i].holderCount
 	for d, members := range dataCentres {
 		ranked := Rank(members, "group "+strconv.Itoa(i))
 		ranked = ranked[:min(n, len(ranked))]
 		p.groups[i].holders[d] = ranked
+		average := averageShare(ranked)
 		for _, m := range ranked {
 			holders[m.Name] = true
+			isLarge := isLarge(m, ranked, average)
+			if isLarge {
+				large[m.Name] = true
+			}
 			if m.Name == in.Self && !in.Minority {
-				p.groups[i].held = true
-				p.groups[i].ahead = isLarge(m, ranked, averageShare(ranked))
+				p.groups[i].held, p.groups[i].ahead = true, p.groups[i].ahead || isLarge
 			}
 		}
 	}
@@ -301,92 +307,3 @@
 	}
 	return slices.SortedFunc(maps.Values(byName), func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 }
-
-// Limit returns how many connections this instance may have to a server of a service in
-// a data centre. ahead is set if it is to open them ahead of calls. ok is false if the plan
-// does not limit the service.
-func (p *Plan) Limit(service, dataCentre string) (limit int, ahead, ok bool) {
-	if p == nil {
-		return 0, false, false
-	}
-	s := p.services[service]
-	if s == nil || s.division.Holders == 0 {
-		return 0, false, false
-	}
-	for _, g := range s.groups {
-		if p.groups[g].held {
-			limit += s.division.PerHolder
-			ahead = ahead || p.groups[g].ahead
-		}
-	}
-	switch {
-	case limit > 0:
-		return limit, ahead, true
-	case s.Direct:
-		return 1, false, true
-	case p.mayCallDirectly(service, dataCentre, s):
-		return 1, false, true
-	}
-	return 0, false, true
-}
-
-// mayCallDirectly reports whether this instance is among those that may have a
-// connection to a server without being a holder: as many as the division allows, of
-// those in the data centre of the server. The window of them starts elsewhere for each
-// service, so that every instance can call some.
-func (p *Plan) mayCallDirectly(service, dataCentre string, s *servicePlan) bool {
-	if dataCentre != p.self.DataCentre {
-		return false
-	}
-	if p.directCount <= s.division.Direct {
-		return true
-	}
-	start := int(hashUnit("window "+service) * float64(p.directCount))
-	return (p.directRank-start+2*p.directCount)%p.directCount < s.division.Direct
-}
-
-// SlackShare returns the share of the slack of retry budgets that this instance may use
-// for searches: half of it belongs to the holders, who make the calls.
-func (p *Plan) SlackShare(size int) float64 {
-	if p.HoldsAny() {
-		return p.DirectUseShare() * holderSlackShare / float64(max(1, p.HolderCount))
-	}
-	return p.DirectUseShare() * directSlackShare / float64(max(1, size))
-}
-
-// RescueShare returns the share of the slack of retry budgets that this instance may use
-// to ask further holders, or to call directly, in place of holders that are late.
-func (p *Plan) RescueShare(size int) float64 {
-	return p.DirectUseShare() * rescueSlackShare / float64(max(1, size))
-}
-
-// DirectUseShare returns the share of this instance's slack of retry budgets for requests
-// that are not handed over: half where some of these call the services of searches.
-func (p *Plan) DirectUseShare() float64 {
-	if p.hasDirectUse() {
-		return 0.5
-	}
-	return 1
-}
-
-func (p *Plan) hasDirectUse() bool {
-	if p == nil {
-		return false
-	}
-	for _, s := range p.services {
-		if s.Direct {
-			return true
-		}
-	}
-	return false
-}
-
-// SearchCount returns the number of sets of services that are handed over.
-func (p *Plan) SearchCount() int { return len(p.searches) }
-
-// Shares of the slack of the retry budget of a service, in sum 1.
-const (
-	holderSlackShare = 0.5
-	rescueSlackShare = 0.4
-	directSlackShare = 0.1
-)
