Wait longer for a connection to a holder before direct calls

Cause: right after a start a search that found no connection to a holder was called directly after 12 ms, which opens a connection for each of its shards. Change: it waits for 0.4 of the time until the answer, as long as a holder that is alive is being connected to.

--- a/lentilward/scatter/handover.go
+++ b/lentilward/scatter/handover.go
@@ -21,8 +21,9 @@
 	secondHolderShare = 0.55
 	directCallShare   = 0.65
 	// connectWaitShare is the share of the time until the answer for which a search waits
-	// for a connection to a holder before servers are called directly.
-	connectWaitShare = 0.2
+	// for a connection to a holder before servers are called directly: right after the start,
+	// direct calls would open a connection for each shard.
+	connectWaitShare = 0.4
 	// maxHolderTime bounds the time allowed on routes without a target latency.
 	maxHolderTime = 500 * time.Millisecond
 	// maxHoldersAsked bounds the holders that are asked to run the same parts.
