--- a/lentilward/blackboard/members.go
+++ b/lentilward/blackboard/members.go
@@ -37,6 +37,9 @@
 	Incarnation uint64         `cbor:"incarnation"`
 	State       MemberState    `cbor:"state"`
 	Revision    uint64         `cbor:"revision"`
+	// CPUShare is the share of a core that the machine has; 0 if it is not known. Gossip
+	// carries it beside the members, since older builds accept no further element.
+	CPUShare float64 `cbor:"-"`
 	// LastSeen is when this instance last received a message from the member, or
 	// when it first received an update about it, whichever is later.
 	LastSeen time.Time `cbor:"-"`
@@ -52,6 +55,9 @@
 	// MissingSeeds is the number of seed addresses at which no member is recorded:
 	// none was ever found there, or its record has expired.
 	MissingSeeds int
+	// ToldCount is the largest number of members that another instance has told; 0 if none
+	// knows many.
+	ToldCount int
 	// HasMajority reports whether this instance recently received messages from
 	// more than half of all instances, itself included. Members that left
 	// gracefully are not counted; missing seeds are.
--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -41,6 +41,8 @@
 	// they start.
 	configure func(*Options)
 	prepare   func(number int, g *Gateway)
+	// dataCentre returns the data centre of an instance; nil for z1.
+	dataCentre func(number int) string
 }
 
 func newMemoryPlatform(t *testing.T) *memoryPlatform {
@@ -106,6 +108,9 @@
 	host := instanceHost(number)
 	dial := p.network.dialFrom(host)
 	o := &Options{Name: fmt.Sprintf("n%d", number), DataCentre: "z1", Peers: seeds}
+	if p.dataCentre != nil {
+		o.DataCentre = p.dataCentre(number)
+	}
 	for port, address := range []*netip.AddrPort{&o.Listen.HTTP, &o.Listen.Readiness, &o.Listen.Peers, &o.Listen.Monitor} {
 		*address = netip.AddrPortFrom(netip.MustParseAddr(host), uint16(8100+port))
 	}
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -66,6 +66,7 @@
 	// fence refuses requests with keys while nothing proves that these are still valid.
 	fence      *proof.Fence
 	allowances *allowances
+	holders    *holders
 	// connecting has the addresses of the peers that connectPeer is connecting to.
 	connecting sync.Map
 	// peersCheckedAt is when checkPeers has last pinged the peers.
@@ -92,6 +93,7 @@
 	g.connectRollouts(store)
 	g.connectProof()
 	g.connectAllowances()
+	g.connectHolders(store)
 	g.applySettings()
 	return g
 }
@@ -120,7 +122,7 @@
 	traffic := &peer.Traffic{}
 	self := blackboard.Member{
 		Name: g.options.Load().Name, Address: g.options.Load().Listen.Peers, DataCentre: g.options.Load().DataCentre,
-		Incarnation: uint64(time.Now().UnixMilli()),
+		Incarnation: uint64(time.Now().UnixMilli()), CPUShare: member.RoundCPUShare(g.options.Load().CPUShare),
 	}
 	g.links = peer.NewLinks(traffic)
 	g.links.Dial = dialPeer
@@ -145,7 +147,7 @@
 	g.prober.OnSameRevision = g.follower.MarkCurrent
 	g.peers.Ping = func(ctx context.Context, gossip member.Gossip) member.Gossip {
 		g.prober.HandleGossip(context.WithoutCancel(ctx), gossip)
-		return g.table.Reply(gossip.From.Name)
+		return g.table.ReplyTo(gossip)
 	}
 	g.peers.Probe = func(ctx context.Context, target netip.AddrPort) error {
 		_, err := g.links.Ping(ctx, target, g.table.NextGossip())
@@ -244,6 +246,7 @@
 		return balance.NewServer(b, pool, remote)
 	}
 	g.mirror.OnChange = func(records []mirror.Record) {
+		g.fleet.mergeRecords(records, g.log)
 		g.directory.Enqueue(records)
 		g.mergePoisonRequests(records)
 		g.prober.GossipNow()
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -60,6 +60,7 @@
 	go g.transferState(processCtx)
 	go g.awaitReady(processCtx)
 	g.startRollouts(processCtx)
+	go g.holders.keepRecord(processCtx)
 	select {
 	case err := <-failed:
 		return merry.Wrap(err)
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -41,6 +41,12 @@
 	Updates []blackboard.Member `cbor:"news"`
 	// Age is how long ago the sender's revision was last known to be the newest.
 	Age time.Duration `cbor:"age,omitempty"`
+	// CPUShares has the shares of a core, in thousandths, of the sender and of the members
+	// in Updates that tell theirs, by name.
+	CPUShares map[string]uint32 `cbor:"cpu-shares,omitempty"`
+	// Known is the number of members that the sender knows, itself included; 0 in small
+	// fleets.
+	Known int `cbor:"known,omitempty"`
 }
 
 // Table holds this instance's view of the members. It is the only writer of the
@@ -61,6 +67,8 @@
 	lastChange time.Time
 	// majoritySince is zero while this instance has no majority.
 	majoritySince time.Time
+	// told is the largest number of members that a message has told.
+	told int
 }
 
 type entry struct {
@@ -133,6 +141,7 @@
 	g := t.nextGossip()
 	if e := t.members[to]; e != nil && e.State != blackboard.Alive {
 		g.Updates = append(g.Updates, e.Member)
+		g.addCPUShares()
 	}
 	return g
 }
@@ -163,6 +172,8 @@
 	if e := t.randomMember(); e != nil && len(pending) < maxUpdatesPerMessage {
 		g.Updates = append(g.Updates, e.Member)
 	}
+	g.Known = t.toldCount()
+	g.addCPUShares()
 	return g
 }
 
@@ -194,6 +205,8 @@
 	for _, m := range g.Updates {
 		t.mergeUpdate(m)
 	}
+	t.mergeCPUShares(g.CPUShares)
+	t.told = max(t.told, min(g.Known, maxToldMembers))
 	t.publish()
 }
 
@@ -227,6 +240,9 @@
 	oldState, lastSeen := e.State, e.LastSeen
 	restarted := m.Incarnation != e.Incarnation && m.State == blackboard.Alive && oldState > blackboard.Suspected
 	revision := max(e.Revision, m.Revision)
+	if m.CPUShare == 0 {
+		m.CPUShare = e.CPUShare
+	}
 	e.Member = m
 	e.LastSeen = lastSeen
 	e.Revision = revision
@@ -309,7 +325,7 @@
 
 // publish writes the Members cell. The caller holds mu.
 func (t *Table) publish() {
-	view := &blackboard.Members{Self: t.self.Name, LastChange: t.lastChange, MissingSeeds: t.countMissingSeeds()}
+	view := &blackboard.Members{Self: t.self.Name, LastChange: t.lastChange, MissingSeeds: t.countMissingSeeds(), ToldCount: t.told}
 	t.updateMajority(view.MissingSeeds)
 	view.HasMajority, view.MajoritySince = !t.majoritySince.IsZero(), t.majoritySince
 	view.List = append(view.List, t.localMember())
