Break off servers that fail fast while others of their service do not

Cause: a server that fails at once looks quick and idle. Where the healthy servers have overdue calls or are remote, it gets nearly all calls; requests that may run once get 502 at once, and others spend the retry budget. Change: a circuit breaker (balance/breaker.go) between in use and unreachable. A server is broken off after at least 10 failures in a row over 250 ms that can't be chance at the failure rate of the others of the same time. It gets probes: idempotent requests that another server gets at the same time. Two successes restore it. If no other server can serve, or the others fail as well, it gets calls as before.

--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -61,8 +61,15 @@
 	inFlight  atomic.Int32
 	// overdueCalls counts the overdue calls in flight.
 	overdueCalls atomic.Int32
+	// suspect is set while the breaker compares the server with others, or has broken
+	// it off.
+	suspect atomic.Bool
+	// onBreaker is called with mu held when the server is broken off or gets calls again.
+	onBreaker func(s *Server, broken bool)
 
 	mu sync.Mutex
+	// breaker finds that the server fails all of its calls.
+	breaker breaker
 	// relativeLatency is the mean reply time as a multiple of the route's median.
 	relativeLatency float64
 	// failureRate is the moving average of the share of calls that failed.
@@ -227,6 +234,7 @@
 	s.consecutiveFailures, s.lastReply = 0, now
 	s.relativeLatency += (relativeLatency - s.relativeLatency) / averageDivisor
 	s.addFailureSample(failed, now)
+	s.recordResult(failed, now)
 }
 
 // RecordFailedCall records a call that ended without a complete reply.
@@ -234,6 +242,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.addFailureSample(true, now)
+	s.recordResult(true, now)
 }
 
 func (s *Server) addFailureSample(failed bool, now time.Time) {
@@ -290,6 +299,7 @@
 	defer s.mu.Unlock()
 	s.consecutiveFailures++
 	s.probeAt = now.Add(s.probeBackoff())
+	s.resetBreaker()
 }
 
 // RecordReplyTimeout records that a call that started at begin got no reply. If
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -16,6 +16,10 @@
 	// servers are those in service, and those that were until recently.
 	servers atomic.Pointer[[]*Server]
 
+	// OnBreaker is called when a server is broken off, and when it gets calls again. It
+	// must not block or use the server's measurements; nil does nothing.
+	OnBreaker func(server *Server, broken bool)
+
 	mu      sync.Mutex
 	waiters []*Waiter
 }
@@ -31,6 +35,7 @@
 func (s *Service) SetServers(servers []*Server) {
 	for _, server := range servers {
 		server.setOnReachable(s.wakeNext)
+		server.setOnBreaker(s.handleBreaker)
 	}
 	s.servers.Store(&servers)
 	s.wakeAll()
@@ -64,8 +69,9 @@
 // may take a call, or nil if one of these is in this instance's own data centre.
 func (s *Service) RemoteDataCentres(exclude []*Server, now time.Time) []string {
 	var dataCentres []string
+	avoidsBroken := s.avoidsBroken(now)
 	for _, server := range s.Servers() {
-		if slices.Contains(exclude, server) || server.IsOutOfService() || server.checkBlocked(now) {
+		if slices.Contains(exclude, server) || server.IsOutOfService() || server.checkBlocked(now) || avoidsBroken && server.IsBroken() {
 			continue
 		}
 		if !server.Remote {
@@ -79,13 +85,15 @@
 }
 
 // Acquire takes a slot on the server with the lowest expected cost that is not in
-// exclude. It returns nil if none can take a call now.
+// exclude, and not broken unless no other can serve. It returns nil if none can take a
+// call now.
 func (s *Service) Acquire(exclude []*Server, now time.Time) *Server {
+	avoidsBroken := s.avoidsBroken(now)
 	for range s.Servers() {
 		var best *Server
 		var bestCost float64
 		for _, server := range s.Servers() {
-			if slices.Contains(exclude, server) {
+			if slices.Contains(exclude, server) || avoidsBroken && server.getsOnlyProbes(now) {
 				continue
 			}
 			if cost, ok := server.expectedCost(now); ok && (best == nil || cost < bestCost) {
@@ -96,6 +104,7 @@
 			return nil
 		}
 		if best.acquireSlot() {
+			best.takeProbe(anyProbeDelay, now)
 			return best
 		}
 	}
--- /dev/null
+++ b/lentilward/directory/breaker.go
@@ -0,0 +1,25 @@
+package directory
+
+import "lentilward.org/lentilward/balance"
+
+// logBreaker logs that a server is broken off, or gets calls again.
+func (d *Directory) logBreaker(s *balance.Server, broken bool) {
+	if broken {
+		d.log.Warn("backend server fails while others do not; it gets only probes", "id", s.ID, "service", s.Service)
+		return
+	}
+	d.log.Info("backend server answers probes; it gets calls again", "id", s.ID, "service", s.Service)
+}
+
+// BrokenServers returns the number of servers that get only probes.
+func (d *Directory) BrokenServers() int {
+	snapshot := d.Current.Load()
+	if snapshot == nil {
+		return 0
+	}
+	n := 0
+	for _, service := range snapshot.Services {
+		n += service.BrokenServers()
+	}
+	return n
+}
--- a/lentilward/directory/snapshot.go
+++ b/lentilward/directory/snapshot.go
@@ -77,6 +77,7 @@
 	s := d.services[name]
 	if s == nil {
 		s = balance.NewService(name, d.retryBudget.Load)
+		s.OnBreaker = d.logBreaker
 		d.services[name] = s
 	}
 	return s
--- a/lentilward/scatter/launch.go
+++ b/lentilward/scatter/launch.go
@@ -24,6 +24,34 @@
 	return s
 }
 
+// startProbe makes the first call of a part together with a probe of a server that is
+// broken off, and reports whether it has. The probe counts as a hedge: the part does not
+// depend on its reply. Where none may be sent, or no other server has a slot, the call is
+// the probe if that has been due for long.
+func (r *run) startProbe(i int, now time.Time) bool {
+	p := &r.parts[i]
+	if !r.task.Route.Idempotent || !r.policy.Hedge || r.task.Route.MaxAttempts < 2 || p.awaitsConnection || !p.service.HasProbeDue(now) {
+		return false
+	}
+	if r.mayHedge(p) && p.service.Budget.Spend(now, r.engine.BudgetShare(), false) {
+		if s := p.service.Acquire(nil, now); s != nil {
+			r.launchCall(i, s, false, false, now)
+			if probed := p.service.AcquireProbe(true, now); probed != nil {
+				r.launchCall(i, probed, true, true, now)
+				return true
+			}
+			p.service.Budget.Refund(now)
+			return true
+		}
+		p.service.Budget.Refund(now)
+	}
+	probed := p.service.AcquireProbe(false, now)
+	if probed != nil {
+		r.launchCall(i, probed, false, false, now)
+	}
+	return probed != nil
+}
+
 // waitForSlot queues a call for which no slot is free; a hedge is tried again
 // later instead. A part is given up if none of its servers is reachable.
 func (r *run) waitForSlot(i int, hedge bool, now time.Time) {
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -225,6 +225,9 @@
 		return
 	}
 	extra := p.startedCalls > 0
+	if !extra && !hedge && r.startProbe(i, now) {
+		return
+	}
 	if extra && !p.service.Budget.Spend(now, r.engine.BudgetShare(), hedge) {
 		p.nextCallAt = now.Add(recheckDelay)
 		return
