Pace servers that have just started or recovered

Cause: a server that comes back while the others of its service are full gets calls up to its connection limits at once, and refuses or delays them, above all while it is cold. Change: package pace finds the share of its usual calls that the server may get. It rises by time with complete answers in time and falls with slow, failed or overdue ones. Instances add up what they observe at one owner for each of four groups of servers (frame "pace"), only while a server is paced and the setting is on. balance uses the weight in expectedCost as the chance of a usual cost; other calls go to other servers if one can take them.

--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lentilward.org/lentilward/conn"
+	"lentilward.org/lentilward/pace"
 	"lentilward.org/schema/domain"
 )
 
@@ -56,11 +57,16 @@
 	outOfService atomic.Bool
 	// leaving is set once the server has said that it is leaving.
 	leaving atomic.Bool
-	// coldUntil is when the cold start ends, in nanoseconds since processStart.
+	// coldUntil is when the cold start ends, in nanoseconds since processStart; 0 if there
+	// was none.
 	coldUntil atomic.Int64
 	inFlight  atomic.Int32
 	// overdueCalls counts the overdue calls in flight.
 	overdueCalls atomic.Int32
+	// paces gives out paces; nil if the server never gets one. pace is nil while it gets
+	// its usual calls.
+	paces *pace.Set
+	pace  atomic.Pointer[pace.Pace]
 	// suspect is set while the breaker compares the server with others, or has broken
 	// it off.
 	suspect atomic.Bool
@@ -110,15 +116,6 @@
 // CancelLeaving puts a server back that has said that it is leaving.
 func (s *Server) CancelLeaving() { s.leaving.Store(false) }
 
-// SetCold records that the server is in a cold start until the given time.
-func (s *Server) SetCold(until time.Time) { s.coldUntil.Store(int64(until.Sub(processStart))) }
-
-// IsCold reports whether the server is in a cold start.
-func (s *Server) IsCold(now time.Time) bool { return int64(now.Sub(processStart)) < s.coldUntil.Load() }
-
-// processStart is the reference time of Server.coldUntil.
-var processStart = time.Now()
-
 // expectedCost returns the weighted time that one more call is expected to take,
 // as a multiple of the median. It returns false if the server can take no call
 // now.
@@ -147,7 +144,7 @@
 	if s.IsCold(now) {
 		cost *= coldWeight
 	}
-	return cost * (1 + costNoise*rand.Float64()), true
+	return cost * s.paceFactor(now) * (1 + costNoise*rand.Float64()), true
 }
 
 // decayMeasurements moves the measurements towards their defaults while there
@@ -208,6 +205,7 @@
 	s.consecutiveFailures = 0
 	onReachable := s.onReachable
 	s.mu.Unlock()
+	s.StartPace(pace.Recovered, now)
 	if onReachable != nil {
 		onReachable()
 	}
@@ -229,8 +227,12 @@
 // RecordReply records a reply, its time as a multiple of the route's median, and
 // whether it was a failure.
 func (s *Server) RecordReply(relativeLatency float64, failed bool, now time.Time) {
+	s.observePace(!failed, relativeLatency, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.consecutiveFailures > 0 {
+		s.StartPace(pace.Recovered, now)
+	}
 	s.consecutiveFailures, s.lastReply = 0, now
 	s.relativeLatency += (relativeLatency - s.relativeLatency) / averageDivisor
 	s.addFailureSample(failed, now)
@@ -239,6 +241,7 @@
 
 // RecordFailedCall records a call that ended without a complete reply.
 func (s *Server) RecordFailedCall(now time.Time) {
+	s.observePace(false, 0, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.addFailureSample(true, now)
@@ -256,6 +259,7 @@
 
 // RecordOverload records that the server refused a call for lack of capacity.
 func (s *Server) RecordOverload(now time.Time) {
+	s.observePace(false, 0, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.overloadedUntil = now.Add(overloadCooldown)
@@ -295,6 +299,7 @@
 
 // RecordUnreachable records that no connection to the server could be opened.
 func (s *Server) RecordUnreachable(now time.Time) {
+	s.observePace(false, 0, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.consecutiveFailures++
@@ -305,6 +310,7 @@
 // RecordReplyTimeout records that a call that started at begin got no reply. If
 // the server has sent no other reply since begin, it counts as unreachable.
 func (s *Server) RecordReplyTimeout(begin, now time.Time) {
+	s.observePace(false, 0, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.addFailureSample(true, now)
@@ -322,10 +328,6 @@
 	s.blockedUntil = now.Add(wrongServerCooldown)
 }
 
-// AddOverdueCall records that a call in flight is overdue. RemoveOverdueCall must
-// be called once that call has ended.
-func (s *Server) AddOverdueCall() { s.overdueCalls.Add(1) }
-
 // RemoveOverdueCall undoes one AddOverdueCall.
 func (s *Server) RemoveOverdueCall() { s.overdueCalls.Add(-1) }
 
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -16,6 +16,7 @@
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/mirror"
+	"lentilward.org/lentilward/pace"
 	"lentilward.org/schema/domain"
 )
 
@@ -304,9 +305,10 @@
 		}
 		return nil
 	}
+	cause := pace.Started
 	if tracked != nil && (tracked.Incarnation != b.Incarnation || tracked.Address != b.Address || tracked.Service != b.Service) {
 		d.removeServer(r.Key, tracked, "restarted")
-		tracked = nil
+		tracked, cause = nil, pace.Restarted
 	}
 	if tracked == nil {
 		tracked = &trackedServer{server: d.NewServer(b)}
@@ -314,6 +316,9 @@
 		d.log.Debug("backend server added", "id", b.ID, "service", b.Service, "address", b.Address, "leaving", b.Draining)
 		if !b.Draining {
 			d.updateConnectionLimit(tracked, b)
+			if d.isServed(b.Service) {
+				tracked.server.StartPace(cause, now)
+			}
 			go openAhead(ctx, tracked.server)
 		}
 	}
--- a/lentilward/directory/breaker.go
+++ b/lentilward/directory/servers.go
@@ -1,6 +1,10 @@
 package directory
 
-import "lentilward.org/lentilward/balance"
+import (
+	"slices"
+
+	"lentilward.org/lentilward/balance"
+)
 
 // logBreaker logs that a server is broken off, or gets calls again.
 func (d *Directory) logBreaker(s *balance.Server, broken bool) {
@@ -11,6 +15,13 @@
 	d.log.Info("backend server answers probes; it gets calls again", "id", s.ID, "service", s.Service)
 }
 
+// isServed reports whether a service has a server in service. A new server of one that has
+// none, as at the start of this instance, is not paced.
+func (d *Directory) isServed(service string) bool {
+	s := d.services[service]
+	return s != nil && slices.ContainsFunc(s.Servers(), func(server *balance.Server) bool { return !server.IsOutOfService() })
+}
+
 // BrokenServers returns the number of servers that get only probes.
 func (d *Directory) BrokenServers() int {
 	snapshot := d.Current.Load()
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -18,6 +18,7 @@
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/mirror"
 	"lentilward.org/lentilward/monitor"
+	"lentilward.org/lentilward/pace"
 	"lentilward.org/lentilward/peer"
 	"lentilward.org/lentilward/registration"
 	"lentilward.org/lentilward/scatter"
@@ -60,6 +61,10 @@
 	engine       *scatter.Engine
 	metrics      *monitor.Metrics
 	fleet        *fleetSize
+	paces        *pace.Set
+	// Paced reports whether servers are paced where the settings leave that open: where
+	// the instances outnumber the connections of servers.
+	Paced func() bool
 	// connecting has the addresses of the peers that connectPeer is connecting to.
 	connecting sync.Map
 	// peersCheckedAt is when checkPeers has last pinged the peers.
@@ -74,13 +79,14 @@
 // newGateway creates the components and connects them.
 func newGateway(o *Options, store *platform.Store, log *slog.Logger, level *slog.LevelVar) *Gateway {
 	g := &Gateway{
-		log: log, level: level, mirror: mirror.New(), metrics: monitor.NewMetrics(), listen: listenTCP,
+		log: log, level: level, mirror: mirror.New(), metrics: monitor.NewMetrics(), listen: listenTCP, paces: pace.NewSet(),
 		board: blackboard.New(blackboard.LocalInstance{Name: o.Name, DataCentre: o.DataCentre}),
 	}
 	g.options.Store(o)
 	g.follower = mirror.NewFollower(g.mirror, log)
 	g.connectStore(store)
 	g.connectPeers()
+	g.connectPaces()
 	g.connectDirectory()
 	g.connectCallers()
 	g.applySettings()
@@ -229,7 +235,9 @@
 		if !remote {
 			pool.Dial = conn.DialNear
 		}
-		return balance.NewServer(b, pool, remote)
+		server := balance.NewServer(b, pool, remote)
+		server.SetPaces(g.paces)
+		return server
 	}
 	g.mirror.OnChange = func(records []mirror.Record) {
 		g.directory.Enqueue(records)
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -52,6 +52,7 @@
 	go g.follower.Run(processCtx)
 	go g.keepRegistered(registered)
 	go g.poisonWriter.Run(processCtx)
+	go g.runPaces(processCtx)
 	go g.transferState(processCtx)
 	go g.awaitReady(processCtx)
 	select {
--- a/lentilward/peer/frame.go
+++ b/lentilward/peer/frame.go
@@ -39,6 +39,7 @@
 	kindGather  kind = "gather"
 	kindPartial kind = "partial"
 	kindCancel  kind = "cancel"
+	kindPace    kind = "pace"
 )
 
 // frame is one message. A reply has the ID of the frame that it replies to.
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -16,6 +16,7 @@
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/memory"
+	"lentilward.org/lentilward/pace"
 	"lentilward.org/lentilward/scatter"
 )
 
@@ -46,15 +47,19 @@
 	// Gather runs part of a search for a peer, and passes each partial result to
 	// emit.
 	Gather func(ctx context.Context, g scatter.Gather, emit func(scatter.Partial))
+	// MergePace adds up a peer's reports about paced servers.
+	MergePace func([]pace.Report) []pace.State
 }
 
 // NewServer returns a server. Its function fields must be set before it serves;
-// Records and Gather have defaults that return nothing.
+// Records, Gather and MergePace have defaults that return nothing.
 func NewServer(board *blackboard.Board, permits *Permits, traffic *Traffic, log *slog.Logger) *Server {
 	return &Server{
 		board: board, permits: permits, traffic: traffic, log: log,
 		Records: func(uint64) RecordsReply { return RecordsReply{} },
 		Gather:  func(context.Context, scatter.Gather, func(scatter.Partial)) {},
+
+		MergePace: func([]pace.Report) []pace.State { return nil },
 	}
 }
 
@@ -178,6 +183,8 @@
 			s.MergeSuspects(b.Suspects)
 			return struct{}{}, nil
 		})
+	case kindPace:
+		return handleBody(f, func(b paceBody) (any, error) { return paceReply{States: s.MergePace(b.Reports)}, nil })
 	}
 	s.traffic.MalformedFrames.Add(1)
 	return nil, merry.Errorf("unknown frame kind %q", f.Kind)
