--- a/lentilward/balance/breaker.go
+++ b/lentilward/balance/breaker.go
@@ -8,24 +8,24 @@
 )
 
 const (
-	// minBreakFailures is the number of failures without a success between them after
-	// which a server may be broken off. A server that fails 45% of its calls has such a
+	// minEjectFailures is the number of failures without a success between them after
+	// which a server may be ejected. A server that fails 45% of its calls has such a
 	// run about once in 5,000 calls.
-	minBreakFailures = 10
+	minEjectFailures = 10
 	// maxChance is the probability with which such a run may occur by chance at the
 	// failure rate of the other servers.
 	maxChance = 1e-4
-	// minBreakSpan is how long a run of failures lasts at least: one event, such as a
-	// restart, ends many calls at the same time. A run of manyBreakFailures lasts
-	// minManyBreakSpan.
-	minBreakSpan      = 250 * time.Millisecond
-	manyBreakFailures = 30
-	minManyBreakSpan  = 30 * time.Millisecond
-	// maxOtherFailures is the failure rate of the other servers above which a broken one
+	// minEjectSpan is how long a run of failures lasts at least: one event, such as a
+	// restart, ends many calls at the same time. A run of manyEjectFailures lasts
+	// minManyEjectSpan.
+	minEjectSpan      = 250 * time.Millisecond
+	manyEjectFailures = 30
+	minManyEjectSpan  = 30 * time.Millisecond
+	// maxOtherFailures is the failure rate of the other servers above which an ejected one
 	// is no worse, and resultAge how long a result counts for that.
 	maxOtherFailures = 0.6
 	resultAge        = 20 * time.Second
-	// minBreakerProbeDelay and maxBreakerProbeDelay bound the delay until a broken
+	// minBreakerProbeDelay and maxBreakerProbeDelay bound the delay until an ejected
 	// server gets another probe. After a success the next one is due after
 	// nextBreakerProbeDelay.
 	minBreakerProbeDelay  = 400 * time.Millisecond
@@ -43,7 +43,7 @@
 )
 
 // breaker finds that a server fails all of its calls while others of its service do
-// not. Such a server is broken off: it gets only probes, which are real requests that
+// not. Such a server is ejected: it gets only probes, which are real requests that
 // another server gets at the same time.
 type breaker struct {
 	// failures counts the failures since the last success, begun with the one at
@@ -56,7 +56,7 @@
 	results    [16]result
 	nextResult uint8
 
-	broken bool
+	ejected bool
 	// probeAt is when the next probe is due, and probeDelay the delay after one that
 	// fails. restored counts the probes that succeeded in a row.
 	probeAt    time.Time
@@ -85,14 +85,14 @@
 		}
 		b.failures++
 		b.restored = 0
-		if b.broken {
+		if b.ejected {
 			b.probeDelay = min(2*b.probeDelay, maxBreakerProbeDelay)
 			b.planProbe(b.probeDelay, now)
 		}
 		return false
 	}
 	b.failures = 0
-	if !b.broken {
+	if !b.ejected {
 		return false
 	}
 	b.restored++
@@ -127,16 +127,16 @@
 
 // isSuspect reports whether the server has failed so often in a row that it is compared
 // with others.
-func (b *breaker) isSuspect() bool { return b.broken || b.failures >= minBreakFailures }
+func (b *breaker) isSuspect() bool { return b.ejected || b.failures >= minEjectFailures }
 
-// tryBreak breaks the server off if its run of failures can't be chance at the failure
+// tryEject ejects the server if its run of failures can't be chance at the failure
 // rate that the others have had meanwhile, and reports whether it has.
-func (b *breaker) tryBreak(others []breaker, now time.Time) bool {
-	span := minBreakSpan
-	if b.failures >= manyBreakFailures {
-		span = minManyBreakSpan
+func (b *breaker) tryEject(others []breaker, now time.Time) bool {
+	span := minEjectSpan
+	if b.failures >= manyEjectFailures {
+		span = minManyEjectSpan
 	}
-	if b.broken || b.failures < minBreakFailures || now.Sub(b.failingSince) < span {
+	if b.ejected || b.failures < minEjectFailures || now.Sub(b.failingSince) < span {
 		return false
 	}
 	// Calls that were in flight when a fault of all servers began still succeed.
@@ -150,7 +150,7 @@
 	if rate := float64(failures+2) / float64(calls+3); calls == failures || math.Pow(rate, float64(b.failures)) > maxChance {
 		return false
 	}
-	b.broken, b.restored, b.probeDelay = true, 0, minBreakerProbeDelay
+	b.ejected, b.restored, b.probeDelay = true, 0, minBreakerProbeDelay
 	b.planProbe(b.probeDelay, now)
 	return true
 }
@@ -182,18 +182,18 @@
 	s.onBreaker = f
 }
 
-// IsBroken reports whether the server fails while others of its service do not, so that
+// IsEjected reports whether the server fails while others of its service do not, so that
 // it gets only probes.
-func (s *Server) IsBroken() bool {
+func (s *Server) IsEjected() bool {
 	if !s.suspect.Load() {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.breaker.broken
+	return s.breaker.ejected
 }
 
-// getsOnlyProbes reports whether the server is broken and any request may not be its
+// getsOnlyProbes reports whether the server is ejected and any request may not be its
 // probe.
 func (s *Server) getsOnlyProbes(now time.Time) bool {
 	if !s.suspect.Load() {
@@ -201,7 +201,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.breaker.broken && !s.breaker.isProbeDue(anyProbeDelay, now)
+	return s.breaker.ejected && !s.breaker.isProbeDue(anyProbeDelay, now)
 }
 
 // isProbeDue reports whether a probe has been due for the delay.
@@ -209,10 +209,10 @@
 	if b.restored > 0 {
 		delay = 0
 	}
-	return b.broken && !now.Before(b.probeAt.Add(delay))
+	return b.ejected && !now.Before(b.probeAt.Add(delay))
 }
 
-// takeProbe reports whether a probe of a broken server has been due for the delay, and
+// takeProbe reports whether a probe of an ejected server has been due for the delay, and
 // plans the next one.
 func (s *Server) takeProbe(delay time.Duration, now time.Time) bool {
 	if !s.suspect.Load() {
@@ -227,10 +227,10 @@
 	return true
 }
 
-// avoidsBroken breaks servers off that fail while others do not, and reports whether
-// those that are broken must be avoided: not if no other server can serve, or if the
+// avoidsEjected ejects servers that fail while others do not, and reports whether
+// those that are ejected must be avoided: not if no other server can serve, or if the
 // others fail as well.
-func (s *Service) avoidsBroken(now time.Time) bool {
+func (s *Service) avoidsEjected(now time.Time) bool {
 	servers := s.Servers()
 	if !slices.ContainsFunc(servers, func(server *Server) bool { return server.suspect.Load() }) {
 		return false
@@ -259,7 +259,7 @@
 			continue
 		}
 		server.mu.Lock()
-		if server.breaker.tryBreak(others, now) && server.onBreaker != nil {
+		if server.breaker.tryEject(others, now) && server.onBreaker != nil {
 			server.onBreaker(server, true)
 		}
 		server.mu.Unlock()
@@ -269,24 +269,25 @@
 
 // handleBreaker reports a change of a server's breaker, and wakes the waiters of one that
 // gets calls again.
-func (s *Service) handleBreaker(server *Server, broken bool) {
-	if !broken {
+func (s *Service) handleBreaker(server *Server, ejected bool) {
+	if !ejected {
 		s.wakeAll()
 	}
 	if s.OnBreaker != nil {
-		s.OnBreaker(server, broken)
+		s.OnBreaker(server, ejected)
 	}
 }
 
-// AcquireProbe takes a slot on a broken server whose probe is due, and returns nil if
-// there is none. hedged is set if another server gets the request at the same time.
-func (s *Service) AcquireProbe(hedged bool, now time.Time) *Server {
+// AcquireProbe takes a slot on an ejected server whose probe is due and that is not in
+// exclude, and returns nil if there is none. hedged is set if another server gets the
+// request at the same time.
+func (s *Service) AcquireProbe(exclude []*Server, hedged bool, now time.Time) *Server {
 	delay := unhedgedProbeDelay
 	if hedged {
 		delay = 0
 	}
 	for _, server := range s.Servers() {
-		if !server.suspect.Load() || server.IsOutOfService() || !server.Pool.CanConnect(now) {
+		if !server.suspect.Load() || slices.Contains(exclude, server) || server.IsOutOfService() || !server.Pool.CanConnect(now) {
 			continue
 		}
 		if server.takeProbe(delay, now) && server.acquireSlot() {
@@ -296,8 +297,8 @@
 	return nil
 }
 
-// HasProbeDue reports whether a probe of a broken server is due. It is cheap where no
-// server is broken.
+// HasProbeDue reports whether a probe of an ejected server is due. It is cheap where no
+// server is ejected.
 func (s *Service) HasProbeDue(now time.Time) bool {
 	return slices.ContainsFunc(s.Servers(), func(server *Server) bool {
 		if !server.suspect.Load() {
@@ -309,11 +310,11 @@
 	})
 }
 
-// BrokenServers returns the number of servers that get only probes.
-func (s *Service) BrokenServers() int {
+// EjectedServers returns the number of servers that get only probes.
+func (s *Service) EjectedServers() int {
 	n := 0
 	for _, server := range s.Servers() {
-		if server.IsBroken() {
+		if server.IsEjected() {
 			n++
 		}
 	}
--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -67,11 +67,11 @@
 	// its usual calls.
 	paces *pace.Set
 	pace  atomic.Pointer[pace.Pace]
-	// suspect is set while the breaker compares the server with others, or has broken
-	// it off.
+	// suspect is set while the breaker compares the server with others, or has ejected
+	// it.
 	suspect atomic.Bool
-	// onBreaker is called with mu held when the server is broken off or gets calls again.
-	onBreaker func(s *Server, broken bool)
+	// onBreaker is called with mu held when the server is ejected or gets calls again.
+	onBreaker func(s *Server, ejected bool)
 
 	mu sync.Mutex
 	// breaker finds that the server fails all of its calls.
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -16,9 +16,9 @@
 	// servers are those in service, and those that were until recently.
 	servers atomic.Pointer[[]*Server]
 
-	// OnBreaker is called when a server is broken off, and when it gets calls again. It
+	// OnBreaker is called when a server is ejected, and when it gets calls again. It
 	// must not block or use the server's measurements; nil does nothing.
-	OnBreaker func(server *Server, broken bool)
+	OnBreaker func(server *Server, ejected bool)
 
 	mu      sync.Mutex
 	waiters []*Waiter
@@ -69,9 +69,9 @@
 // may take a call, or nil if one of these is in this instance's own data centre.
 func (s *Service) RemoteDataCentres(exclude []*Server, now time.Time) []string {
 	var dataCentres []string
-	avoidsBroken := s.avoidsBroken(now)
+	avoidsEjected := s.avoidsEjected(now)
 	for _, server := range s.Servers() {
-		if slices.Contains(exclude, server) || server.IsOutOfService() || server.checkBlocked(now) || avoidsBroken && server.IsBroken() {
+		if slices.Contains(exclude, server) || server.IsOutOfService() || server.checkBlocked(now) || avoidsEjected && server.IsEjected() {
 			continue
 		}
 		if !server.Remote {
@@ -85,15 +85,15 @@
 }
 
 // Acquire takes a slot on the server with the lowest expected cost that is not in
-// exclude, and not broken unless no other can serve. It returns nil if none can take a
+// exclude, and not ejected unless no other can serve. It returns nil if none can take a
 // call now.
 func (s *Service) Acquire(exclude []*Server, now time.Time) *Server {
-	avoidsBroken := s.avoidsBroken(now)
+	avoidsEjected := s.avoidsEjected(now)
 	for range s.Servers() {
 		var best *Server
 		var bestCost float64
 		for _, server := range s.Servers() {
-			if slices.Contains(exclude, server) || avoidsBroken && server.getsOnlyProbes(now) {
+			if slices.Contains(exclude, server) || avoidsEjected && server.getsOnlyProbes(now) {
 				continue
 			}
 			if cost, ok := server.expectedCost(now); ok && (best == nil || cost < bestCost) {
--- a/lentilward/directory/servers.go
+++ b/lentilward/directory/servers.go
@@ -6,9 +6,9 @@
 	"lentilward.org/lentilward/balance"
 )
 
-// logBreaker logs that a server is broken off, or gets calls again.
-func (d *Directory) logBreaker(s *balance.Server, broken bool) {
-	if broken {
+// logBreaker logs that a server is ejected, or gets calls again.
+func (d *Directory) logBreaker(s *balance.Server, ejected bool) {
+	if ejected {
 		d.log.Warn("backend server fails while others do not; it gets only probes", "id", s.ID, "service", s.Service)
 		return
 	}
@@ -22,15 +22,15 @@
 	return s != nil && slices.ContainsFunc(s.Servers(), func(server *balance.Server) bool { return !server.IsOutOfService() })
 }
 
-// BrokenServers returns the number of servers that get only probes.
-func (d *Directory) BrokenServers() int {
+// EjectedServers returns the number of servers that get only probes.
+func (d *Directory) EjectedServers() int {
 	snapshot := d.Current.Load()
 	if snapshot == nil {
 		return 0
 	}
 	n := 0
 	for _, service := range snapshot.Services {
-		n += service.BrokenServers()
+		n += service.EjectedServers()
 	}
 	return n
 }
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -294,8 +294,8 @@
 	}
 	g.metrics.RegisterGauge("lentilward_limited_searches", "Sets of shards whose searches are limited because the servers are overloaded.",
 		func() float64 { return float64(g.directory.LimitedSearches(time.Now())) })
-	g.metrics.RegisterGauge("lentilward_broken_servers", "Backend servers that get only probes because they fail while others do not.",
-		func() float64 { return float64(g.directory.BrokenServers()) })
+	g.metrics.RegisterGauge("lentilward_ejected_servers", "Backend servers that get only probes because they fail while others do not.",
+		func() float64 { return float64(g.directory.EjectedServers()) })
 	g.metrics.RegisterGauge("lentilward_held_reply_bytes", "Bytes of replies of backend servers that are held.",
 		func() float64 { return float64(replies.Used()) })
 	g.metrics.RegisterGauge("lentilward_held_request_bytes", "Bytes of requests of callers that are held.",
--- a/lentilward/scatter/launch.go
+++ b/lentilward/scatter/launch.go
@@ -25,7 +25,7 @@
 }
 
 // startProbe makes the first call of a part together with a probe of a server that is
-// broken off, and reports whether it has. The probe counts as a hedge: the part does not
+// ejected, and reports whether it has. The probe counts as a hedge: the part does not
 // depend on its reply. Where none may be sent, or no other server has a slot, the call is
 // the probe if that has been due for long.
 func (r *run) startProbe(i int, now time.Time) bool {
@@ -36,7 +36,7 @@
 	if r.mayHedge(p) && p.service.Budget.Spend(now, r.engine.BudgetShare(), false) {
 		if s := p.service.Acquire(nil, now); s != nil {
 			r.launchCall(i, s, false, false, now)
-			if probed := p.service.AcquireProbe(true, now); probed != nil {
+			if probed := p.service.AcquireProbe(p.tried, true, now); probed != nil {
 				r.launchCall(i, probed, true, true, now)
 				return true
 			}
@@ -45,7 +45,7 @@
 		}
 		p.service.Budget.Refund(now)
 	}
-	probed := p.service.AcquireProbe(false, now)
+	probed := p.service.AcquireProbe(p.tried, false, now)
 	if probed != nil {
 		r.launchCall(i, probed, false, false, now)
 	}
