Merge the pace of servers and the ejection of servers that fail fast

Cause: servers that answer quickly with failures drew calls, and servers that had just started or recovered were flooded or left idle. Handed searches probe ejected servers only within the order that all instances use, and may go to a version on trial. Where holders are needed servers are paced unless the settings say otherwise.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -18,6 +18,7 @@
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/mirror"
 	"lentilward.org/lentilward/monitor"
+	"lentilward.org/lentilward/pace"
 	"lentilward.org/lentilward/peer"
 	"lentilward.org/lentilward/proof"
 	"lentilward.org/lentilward/registration"
@@ -67,6 +68,10 @@
 	fence      *proof.Fence
 	allowances *allowances
 	holders    *holders
+	paces      *pace.Set
+	// Paced reports whether servers are paced where the settings leave that open: where
+	// the instances outnumber the connections of servers.
+	Paced func() bool
 	// connecting has the addresses of the peers that connectPeer is connecting to.
 	connecting sync.Map
 	// peersCheckedAt is when checkPeers has last pinged the peers.
@@ -81,13 +86,14 @@
 // newGateway creates the components and connects them.
 func newGateway(o *Options, store *platform.Store, log *slog.Logger, level *slog.LevelVar) *Gateway {
 	g := &Gateway{
-		log: log, level: level, mirror: mirror.New(), metrics: monitor.NewMetrics(), listen: listenTCP,
+		log: log, level: level, mirror: mirror.New(), metrics: monitor.NewMetrics(), listen: listenTCP, paces: pace.NewSet(),
 		board: blackboard.New(blackboard.LocalInstance{Name: o.Name, DataCentre: o.DataCentre}),
 	}
 	g.options.Store(o)
 	g.follower = mirror.NewFollower(g.mirror, log)
 	g.connectStore(store)
 	g.connectPeers()
+	g.connectPaces()
 	g.connectDirectory()
 	g.connectCallers()
 	g.connectRollouts(store)
@@ -243,7 +249,9 @@
 		if !remote {
 			pool.Dial = conn.DialNear
 		}
-		return balance.NewServer(b, pool, remote)
+		server := balance.NewServer(b, pool, remote)
+		server.SetPaces(g.paces)
+		return server
 	}
 	g.mirror.OnChange = func(records []mirror.Record) {
 		g.fleet.mergeRecords(records, g.log)
@@ -302,6 +310,8 @@
 	}
 	g.metrics.RegisterGauge("lentilward_limited_searches", "Sets of shards whose searches are limited because the servers are overloaded.",
 		func() float64 { return float64(g.directory.LimitedSearches(time.Now())) })
+	g.metrics.RegisterGauge("lentilward_ejected_servers", "Backend servers that get only probes because they fail while others do not.",
+		func() float64 { return float64(g.directory.EjectedServers()) })
 	g.metrics.RegisterGauge("lentilward_held_reply_bytes", "Bytes of replies of backend servers that are held.",
 		func() float64 { return float64(replies.Used()) })
 	g.metrics.RegisterGauge("lentilward_held_request_bytes", "Bytes of requests of callers that are held.",
--- a/lentilward/scatter/restrict.go
+++ b/lentilward/scatter/restrict.go
@@ -25,7 +25,12 @@
 // run the search, so that a request is sent to as many servers of a shard as the route
 // permits.
 func (r *run) acquireRestricted(p *part, hedge bool, now time.Time) *balance.Server {
-	beyond := p.service.ServersBeyond(r.restricted.n, r.restricted.home, now)
+	beyond := r.beyond(p, now)
+	if p.startedCalls == 0 {
+		if s := p.service.AcquireTrial(r.task.Route.Name, now); s != nil {
+			return s
+		}
+	}
 	if p.awaitsConnection {
 		return p.service.AcquireConnectedExcept(beyond, now)
 	}
@@ -39,3 +44,11 @@
 	}
 	return s
 }
+
+// beyond returns the servers of a part that the search must not use.
+func (r *run) beyond(p *part, now time.Time) []*balance.Server {
+	if r.restricted == nil {
+		return nil
+	}
+	return p.service.ServersBeyond(r.restricted.n, r.restricted.home, now)
+}
