--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -16,6 +16,10 @@
 	// servers are those in service, and those that were until recently.
 	servers atomic.Pointer[[]*Server]
 
+	// OnBreaker is called when a server is ejected, and when it gets calls again. It
+	// must not block or use the server's measurements; nil does nothing.
+	OnBreaker func(server *Server, ejected bool)
+
 	mu      sync.Mutex
 	waiters []*Waiter
 
@@ -39,6 +43,7 @@
 func (s *Service) SetServers(servers []*Server) {
 	for _, server := range servers {
 		server.setOnReachable(s.wakeNext)
+		server.setOnBreaker(s.handleBreaker)
 	}
 	s.setServersInService(servers)
 	s.wakeAll()
@@ -72,8 +77,9 @@
 // may take a call, or nil if one of these is in this instance's own data centre.
 func (s *Service) RemoteDataCentres(exclude []*Server, now time.Time) []string {
 	var dataCentres []string
+	avoidsEjected := s.avoidsEjected(now)
 	for _, server := range s.Servers() {
-		if slices.Contains(exclude, server) || server.IsOutOfService() || server.checkBlocked(now) {
+		if slices.Contains(exclude, server) || server.IsOutOfService() || server.checkBlocked(now) || avoidsEjected && server.IsEjected() {
 			continue
 		}
 		if !server.Remote {
@@ -87,13 +93,15 @@
 }
 
 // Acquire takes a slot on the server with the lowest expected cost that is not in
-// exclude. It returns nil if none can take a call now.
+// exclude, and not ejected unless no other can serve. It returns nil if none can take a
+// call now.
 func (s *Service) Acquire(exclude []*Server, now time.Time) *Server {
+	avoidsEjected := s.avoidsEjected(now)
 	for range s.Servers() {
 		var best *Server
 		var bestCost float64
 		for _, server := range s.Servers() {
-			if slices.Contains(exclude, server) {
+			if slices.Contains(exclude, server) || avoidsEjected && server.getsOnlyProbes(now) {
 				continue
 			}
 			if cost, ok := server.expectedCost(now); ok && (best == nil || cost < bestCost) {
@@ -105,6 +113,7 @@
 		}
 		if best.acquireSlot() {
 			if s.isPermitted(best) {
+				best.takeProbe(anyProbeDelay, now)
 				return best
 			}
 			best.inFlight.Add(-1)
--- a/lentilward/balance/version.go
+++ b/lentilward/balance/version.go
@@ -153,9 +153,18 @@
 // AcquireFirst takes a slot for the first call of a request on a route. Only such a call
 // may go to a version on trial.
 func (s *Service) AcquireFirst(route string, now time.Time) *Server {
+	if server := s.AcquireTrial(route, now); server != nil {
+		return server
+	}
+	return s.Acquire(nil, now)
+}
+
+// AcquireTrial takes a slot on a server of the version on trial, if there is a permit for
+// the first call of a request on a route.
+func (s *Service) AcquireTrial(route string, now time.Time) *Server {
 	view := s.versions.Load()
 	if view == nil || view.trial == nil {
-		return s.Acquire(nil, now)
+		return nil
 	}
 	server := view.trial.Acquire(nil, now)
 	if server != nil && s.versions.Load() == view && view.policy.TakePermit(route, now) {
@@ -164,7 +173,7 @@
 	if server != nil {
 		server.inFlight.Add(-1)
 	}
-	return s.Acquire(nil, now)
+	return nil
 }
 
 // acquireReserve takes a slot on a server of the version in reserve.
--- a/lentilward/gateway_holder.go
+++ b/lentilward/gateway_holder.go
@@ -68,6 +68,7 @@
 		},
 	}
 	g.holders = h
+	g.Paced = func() bool { return h.holderCount() > 0 }
 	g.directory.OnState, g.directory.ConnectionLimit = h.update, h.connectionLimit
 	g.engine.PlanHandover = h.planHandover
 	g.engine.HolderShare, g.engine.BudgetShare = h.slackShare, h.directShare
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -16,6 +16,7 @@
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/memory"
+	"lentilward.org/lentilward/pace"
 	"lentilward.org/lentilward/proof"
 	"lentilward.org/lentilward/quota"
 	"lentilward.org/lentilward/rollout"
@@ -59,10 +60,12 @@
 	// that this one considers the homes of tenants.
 	LendQuota  func(a quota.Ask, final bool) QuotaReply
 	QuotaHomes func(tenants []string) []netip.AddrPort
+	// MergePace adds up a peer's reports about paced servers.
+	MergePace func([]pace.Report) []pace.State
 }
 
 // NewServer returns a server. Its function fields must be set before it serves;
-// Records, Proof, Gather, LendQuota and QuotaHomes have defaults that return nothing.
+// Records, Proof, Gather, LendQuota, QuotaHomes and MergePace have defaults that return nothing.
 func NewServer(board *blackboard.Board, permits *Permits, traffic *Traffic, log *slog.Logger) *Server {
 	return &Server{
 		board: board, permits: permits, traffic: traffic, log: log,
@@ -72,6 +75,7 @@
 
 		LendQuota:  func(quota.Ask, bool) QuotaReply { return QuotaReply{} },
 		QuotaHomes: func([]string) []netip.AddrPort { return nil },
+		MergePace:  func([]pace.Report) []pace.State { return nil },
 	}
 }
 
@@ -201,6 +205,8 @@
 		return s.dispatchRollout(f)
 	case kindQuota, kindHomes:
 		return s.dispatchQuota(f)
+	case kindPace:
+		return handleBody(f, func(b paceBody) (any, error) { return paceReply{States: s.MergePace(b.Reports)}, nil })
 	}
 	s.traffic.MalformedFrames.Add(1)
 	return nil, merry.Errorf("unknown frame kind %q", f.Kind)
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -264,6 +264,9 @@
 	if !extra && p.awaitPermit(now) {
 		return
 	}
+	if !extra && !hedge && r.startProbe(i, now) {
+		return
+	}
 	charged := extra && !p.prepaid
 	if charged && !p.service.Budget.Spend(now, r.slackShare(), hedge) {
 		p.nextCallAt = now.Add(recheckDelay)
