Check pending records without a race in the test

It asked HasPending right after Enqueue, while the directory's goroutine runs in parallel and may have applied the record by then, which is allowed.

Change: the record is held while it is being applied, and the queued state is checked on a directory that does not run. Both states are still checked, and the end as well.

--- a/lentilward/directory/directory_test.go
+++ b/lentilward/directory/directory_test.go
@@ -120,26 +120,35 @@
 	})
 }
 
-// Guards against a snapshot that is taken for current while records are queued.
+// Guards against a snapshot that is taken for current while records are queued, or while
+// they are being applied.
 func TestHasPendingUntilRecordsAreApplied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		td := newTestDirectory(t)
 		if td.d.HasPending() {
 			t.Fatal("pending although all records are applied")
 		}
-		pending := false
+		proceed := make(chan struct{})
 		newServer := td.d.NewServer
 		td.d.NewServer = func(b domain.BackendServer) *balance.Server {
-			pending = td.d.HasPending()
+			<-proceed
 			return newServer(b)
 		}
 		td.d.Enqueue([]mirror.Record{serverRecord("i-1", nil)})
+		synctest.Wait()
 		if !td.d.HasPending() {
-			t.Error("not pending although a record is queued")
+			t.Error("not pending while the record is being applied")
 		}
+		close(proceed)
 		synctest.Wait()
-		if !pending || td.d.HasPending() {
-			t.Errorf("pending %v while the record was being applied, %v after it", pending, td.d.HasPending())
+		if td.d.HasPending() {
+			t.Error("pending although the record is applied")
+		}
+		idle := New(RecordFormat{}, td.d.log)
+		idle.RecordAge = func() time.Duration { return 0 }
+		idle.Enqueue([]mirror.Record{serverRecord("i-2", nil)})
+		if !idle.HasPending() {
+			t.Error("not pending although a record is queued")
 		}
 	})
 }
