Show where a request would go at each instance with lentilctl explain

An operator who asks why a request is refused or goes to a far server had to put the answer together from metrics and log lines of each instance. The steps that decide have side effects (probes, ejections, permits, credit), so they can't be run just to look.

`/explain?host=…&path=…&tenant=…` at the monitor address and `lentilctl explain` show the route or refusal, priority, limit of searches, holders, and the servers in the order of choice with their states. Each step with a side effect has a counterpart that works on a copy. The formula of the expected cost is moved into weightedCost, which both use.

Tests: balance, directory, pace, proof, web, monitor and lentilctl pass with -race, and so do the tests named Explanation of the root package and WouldAdmit of admission. Probes, ejections, taken breaker probes and aged measurements put into the view by hand make TestExplainChangesNothing fail. The whole root package ran twice without -race and failed both times. Of the first run only the end of the output was kept: TestScripts failed for lack of bin/ (it passed once that was built), and TestGoodVersionIsCompletedWithoutCut (a good version was rolled back).

--- a/lentilctl/main.go
+++ b/lentilctl/main.go
@@ -89,4 +89,5 @@
 	registerCallerCommands(app, timeout, setAction)
 	registerOperatorCommands(app, timeout, setAction)
 	registerRolloutCommands(app, timeout, setAction)
+	registerExplainCommand(app, timeout, setAction)
 }
--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -132,19 +132,7 @@
 	if blocked {
 		return 0, false
 	}
-	cost := relativeLatency * (1 + inFlightWeight*float64(s.inFlight.Load())) * (1 + failureWeight*failureRate)
-	if s.Remote {
-		cost *= remoteWeight
-	}
-	if s.overdueCalls.Load() > 0 {
-		cost *= overdueWeight
-	}
-	if overloaded {
-		cost *= overloadWeight
-	}
-	if s.IsCold(now) {
-		cost *= coldWeight
-	}
+	cost := s.weightedCost(relativeLatency, failureRate, overloaded, now)
 	return cost * s.paceFactor(now) * (1 + costNoise*rand.Float64()), true
 }
 
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -44,6 +44,8 @@
 	// Admissions has for each search route the limit that it shares with the other
 	// routes over the same services.
 	Admissions map[string]*admission.Limit
+	// OutOfService has for each service the known servers that must get no calls.
+	OutOfService map[string][]OutOfService
 }
 
 // RecordFormat has the keys of the store's records and the functions that decode
--- a/lentilward/directory/servers.go
+++ b/lentilward/directory/servers.go
@@ -34,3 +34,10 @@
 	}
 	return n
 }
+
+// OutOfService is a server that must get no calls because it is draining or its data centre
+// is withdrawn.
+type OutOfService struct {
+	Server              *balance.Server
+	Draining, Withdrawn bool
+}
--- a/lentilward/directory/snapshot.go
+++ b/lentilward/directory/snapshot.go
@@ -13,7 +13,7 @@
 // rebuild removes the servers that are due for removal, assigns the others to their
 // services and publishes a new snapshot.
 func (d *Directory) rebuild(now time.Time) {
-	byService := make(map[string][]*balance.Server)
+	byService, outOfUse := make(map[string][]*balance.Server), make(map[string][]OutOfService)
 	unconfirmed := false
 	for key, tracked := range d.servers {
 		if !tracked.removeAt.IsZero() && !now.Before(tracked.removeAt) {
@@ -27,7 +27,9 @@
 		if tracked.server.SetOutOfService(outOfService) && outOfService {
 			tracked.server.Pool.CloseIdle()
 		}
-		if !outOfService {
+		if outOfService {
+			outOfUse[tracked.Service] = append(outOfUse[tracked.Service], OutOfService{tracked.server, tracked.Draining, d.withdrawn[tracked.DataCentre]})
+		} else {
 			byService[tracked.Service] = append(byService[tracked.Service], tracked.server)
 		}
 	}
@@ -39,8 +41,8 @@
 		return
 	}
 	snapshot := &Snapshot{
-		Configuration: d.configuration,
-		Services:      make(map[string]*balance.Service), Routes: make(map[string]*balance.Route),
+		Configuration: d.configuration, OutOfService: outOfUse,
+		Services: make(map[string]*balance.Service), Routes: make(map[string]*balance.Route),
 		Admissions: make(map[string]*admission.Limit),
 	}
 	admissions := make(map[string]*admission.Limit)
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -25,7 +25,7 @@
 	peers := &http.Server{Handler: g.peers.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	monitors := &http.Server{
-		Handler:           g.serveRollouts(monitor.WithTenants(monitor.Handler(g.board, g.metrics), g.allowances.status)),
+		Handler:           g.serveExplanations(g.serveRollouts(monitor.WithTenants(monitor.Handler(g.board, g.metrics), g.allowances.status))),
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	failed := make(chan error, 4)
