Name the budget of second holders and direct calls by the usual term

Cause: rescue is no term of the field. Change: fallback in its place, in code and notes. Measured: vet is clean; the tests of the budget pass.

--- a/lentilward/gateway_holder.go
+++ b/lentilward/gateway_holder.go
@@ -47,8 +47,8 @@
 	// signature identifies the input of the present plan.
 	signature uint64
 	mu        sync.Mutex
-	// rescues has the budgets of second holders and direct calls, by the key of the search.
-	rescues map[string]*rescueBudget
+	// fallbacks has the budgets of second holders and direct calls, by the key of the search.
+	fallbacks map[string]*fallbackBudget
 
 	handed, second, direct, unaided, run atomic.Int64
 }
@@ -57,7 +57,7 @@
 func (g *Gateway) connectHolders(store *platform.Store) {
 	h := &holders{
 		board: g.board, fleet: g.fleet, log: g.log, dataCentre: g.options.Load().DataCentre, chooser: holder.NewChooser(),
-		isConnected: g.links.CanGather, connect: g.connectPeer, rescues: make(map[string]*rescueBudget),
+		isConnected: g.links.CanGather, connect: g.connectPeer, fallbacks: make(map[string]*fallbackBudget),
 		retryBudget: func() *balance.RetryBudget {
 			o := g.options.Load()
 			return &balance.RetryBudget{Ratio: o.RetryBudget.Ratio, Slack: o.RetryBudget.Slack, Window: time.Duration(o.RetryBudget.Window)}
@@ -105,7 +105,7 @@
 	h.chooser.Keep(func(a netip.AddrPort) bool { return addresses[a] })
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	maps.DeleteFunc(h.rescues, func(key string, _ *rescueBudget) bool { return plan.Parts(key) == nil })
+	maps.DeleteFunc(h.fallbacks, func(key string, _ *fallbackBudget) bool { return plan.Parts(key) == nil })
 }
 
 // minHandedShards is the number of shards from which a search is handed to a holder.
@@ -261,7 +261,7 @@
 	handover.IsConnecting = func(group int) bool { return h.isConnecting(plan, groups[group]) }
 	handover.KeepCredit = sync.OnceValue(func() bool { return h.keepCredit(key) })
 	handover.Spend = func(int, time.Time) bool { return h.spend(plan, key) }
-	handover.Refund = func(int, time.Time) { h.rescue(key).budget.Refund(time.Now()) }
+	handover.Refund = func(int, time.Time) { h.fallback(key).budget.Refund(time.Now()) }
 	handover.Begin = func(address netip.AddrPort) {
 		h.handed.Add(1)
 		h.chooser.Begin(address, time.Now())
--- a/lentilward/holder/limit.go
+++ b/lentilward/holder/limit.go
@@ -58,10 +58,10 @@
 	return p.DirectUseShare() * share / float64(max(1, count))
 }
 
-// RescueShare returns the share of the slack of retry budgets that this instance may use
+// FallbackShare returns the share of the slack of retry budgets that this instance may use
 // to ask further holders, or to call directly, in place of holders that are late.
-func (p *Plan) RescueShare(size int) float64 {
-	return p.DirectUseShare() * rescueSlackShare / float64(max(1, size))
+func (p *Plan) FallbackShare(size int) float64 {
+	return p.DirectUseShare() * fallbackSlackShare / float64(max(1, size))
 }
 
 // DirectUseShare returns the share of this instance's slack of retry budgets for requests
@@ -90,8 +90,8 @@
 
 // Shares of the slack of the retry budget of a service, in sum 1.
 const (
-	largeSlackShare  = 0.4
-	smallSlackShare  = 0.1
-	rescueSlackShare = 0.4
-	directSlackShare = 0.1
+	largeSlackShare    = 0.4
+	smallSlackShare    = 0.1
+	fallbackSlackShare = 0.4
+	directSlackShare   = 0.1
 )
--- a/lentilward/holder/limit_test.go
+++ b/lentilward/holder/limit_test.go
@@ -10,7 +10,7 @@
 		sum := 0.0
 		for _, m := range f.members {
 			p := f.plan(m.Name, f.members)
-			sum += p.SlackShare(111) + p.RescueShare(111)
+			sum += p.SlackShare(111) + p.FallbackShare(111)
 			if direct {
 				sum += p.DirectUseShare() / 111
 			}
--- a/lentilward/holder_budget.go
+++ b/lentilward/holder_budget.go
@@ -8,23 +8,23 @@
 	"lentilward.org/lentilward/holder"
 )
 
-// rescueBudget is this instance's part of the retry budget for searches over one set of
+// fallbackBudget is this instance's part of the retry budget for searches over one set of
 // services. A call counts as one to each.
-type rescueBudget struct {
+type fallbackBudget struct {
 	budget   *balance.InstanceBudget
 	searches int
 	rounding float64
 	drawnAt  time.Time
 }
 
-// rescue returns the budget of searches over a set of services.
-func (h *holders) rescue(key string) *rescueBudget {
+// fallback returns the budget of searches over a set of services.
+func (h *holders) fallback(key string) *fallbackBudget {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	b := h.rescues[key]
+	b := h.fallbacks[key]
 	if b == nil {
-		b = &rescueBudget{budget: balance.NewInstanceBudget(h.retryBudget)}
-		h.rescues[key] = b
+		b = &fallbackBudget{budget: balance.NewInstanceBudget(h.retryBudget)}
+		h.fallbacks[key] = b
 	}
 	return b
 }
@@ -32,7 +32,7 @@
 // keepCredit counts a search, and reports whether its first calls count for the budget of
 // this instance: every second one does. The holder counts the others.
 func (h *holders) keepCredit(key string) bool {
-	b := h.rescue(key)
+	b := h.fallback(key)
 	h.mu.Lock()
 	b.searches++
 	keep := b.searches%2 == 1
@@ -45,10 +45,10 @@
 
 // spend takes one more call for each service of a search from the retry budget.
 func (h *holders) spend(plan *holder.Plan, key string) bool {
-	b, now := h.rescue(key), time.Now()
+	b, now := h.fallback(key), time.Now()
 	share := 0.0
 	if h.fleet.share() > 0 {
-		share = plan.RescueShare(h.fleet.size()) / float64(max(1, plan.SearchCount()))
+		share = plan.FallbackShare(h.fleet.size()) / float64(max(1, plan.SearchCount()))
 	}
 	h.mu.Lock()
 	if now.Sub(b.drawnAt) > roundingWindows*h.retryBudget().Window {
--- a/lentilward/holder_budget_test.go
+++ b/lentilward/holder_budget_test.go
@@ -19,12 +19,12 @@
 func TestSecondHoldersStayWithinTheRetryBudget(t *testing.T) {
 	for _, instances := range []int{111, 870} {
 		t.Run(fmt.Sprint(instances), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runRescueModel(t, instances) })
+			synctest.Test(t, func(t *testing.T) { runFallbackModel(t, instances) })
 		})
 	}
 }
 
-func runRescueModel(t *testing.T, instances int) {
+func runFallbackModel(t *testing.T, instances int) {
 	const perSecond, window, seconds = 40, 10 * time.Second, 120
 	budget := balance.RetryBudget{Ratio: 0.2, Slack: 50, Window: window}
 	in := holder.Input{Size: instances, Services: map[string]holder.Service{"s": {MaxConnections: 60}}, Searches: []holder.Search{{Key: "s", Services: []string{"s"}}}}
@@ -42,7 +42,7 @@
 		board := blackboard.New(blackboard.LocalInstance{Name: m.Name})
 		board.Members.Store(&blackboard.Members{Self: m.Name, List: list})
 		h := &holders{
-			fleet: newFleetSize(board, 1, func() time.Duration { return window }), rescues: make(map[string]*rescueBudget),
+			fleet: newFleetSize(board, 1, func() time.Duration { return window }), fallbacks: make(map[string]*fallbackBudget),
 			retryBudget: func() *balance.RetryBudget { return &budget },
 		}
 		plans[h] = holder.Build(in)
@@ -62,7 +62,7 @@
 	}
 	random := rand.New(rand.NewPCG(1, 1))
 	var first, extra [seconds]int
-	rescued := 0
+	fallbackd := 0
 	for second := range seconds {
 		for range perSecond {
 			asker, budget := askers[random.IntN(len(askers))], held[random.IntN(len(held))]
@@ -72,7 +72,7 @@
 			}
 			if asker.spend(plans[asker], "s") {
 				extra[second]++
-				rescued++
+				fallbackd++
 			}
 			for budget.Spend(time.Now(), holderShare, true) {
 				extra[second]++
@@ -88,11 +88,11 @@
 		}
 		worst = max(worst, float64(extras)/(budget.Ratio*float64(calls)+budget.Slack))
 	}
-	t.Logf("at most %.2f of the budget is used in a window, %d of %d searches get a second holder", worst, rescued, perSecond*seconds)
+	t.Logf("at most %.2f of the budget is used in a window, %d of %d searches get a second holder", worst, fallbackd, perSecond*seconds)
 	if worst > 1 {
 		t.Errorf("%.2f of the budget is used in a window", worst)
 	}
-	if share := float64(rescued) / (perSecond * seconds); share < 0.03 {
+	if share := float64(fallbackd) / (perSecond * seconds); share < 0.03 {
 		t.Errorf("%.3f of the searches get a second holder", share)
 	}
 }
