Keep ejected and paused servers in the order that all instances use

Servers that one holder had ejected, or that had asked it for a pause, had no place in its order, so two holders of one search used different servers.

Change: only lost servers have no place. Where the servers that a search may use are all ejected, they get its calls, since the others can't take these.

--- a/lentilward/balance/breaker.go
+++ b/lentilward/balance/breaker.go
@@ -230,7 +230,7 @@
 // avoidsEjected ejects servers that fail while others do not, and reports whether
 // those that are ejected must be avoided: not if no other server can serve, or if the
 // others fail as well.
-func (s *Service) avoidsEjected(now time.Time) bool {
+func (s *Service) avoidsEjected(beyond []*Server, now time.Time) bool {
 	servers := s.Servers()
 	if !slices.ContainsFunc(servers, func(server *Server) bool { return server.suspect.Load() }) {
 		return false
@@ -238,7 +238,7 @@
 	var others []breaker
 	serving := false
 	for _, server := range servers {
-		if server.suspect.Load() || server.IsOutOfService() {
+		if server.suspect.Load() || server.IsOutOfService() || slices.Contains(beyond, server) {
 			continue
 		}
 		server.mu.Lock()
--- a/lentilward/balance/order.go
+++ b/lentilward/balance/order.go
@@ -12,8 +12,8 @@
 // to at most n, whichever instances run it: those beyond the first n in an order in which
 // servers in the data centre home come first. The order of the others is the same for all
 // requests from there, so that few connections are needed. Servers that can't be called
-// don't count, nor do ejected ones. While a version is on trial, one of its servers may be
-// called as well.
+// don't count; ejected and paused ones do, since other instances may call these. While a
+// version is on trial, one of its servers may be called as well.
 func (s *Service) ServersBeyond(n int, home string, now time.Time) []*Server {
 	servers := s.Servers()
 	if view := s.versions.Load(); view != nil && view.trial != nil {
@@ -27,10 +27,9 @@
 		far    int
 		hash   uint64
 	}
-	avoidsEjected := s.avoidsEjected(now)
 	list := make([]ordered, 0, len(servers))
 	for _, server := range servers {
-		if server.IsOutOfService() || server.checkBlocked(now) || avoidsEjected && server.getsOnlyProbes(now) {
+		if server.IsOutOfService() || server.isLost(now) {
 			continue
 		}
 		far := 0
@@ -68,3 +67,15 @@
 		return !server.IsOutOfService() && server.Pool.Limit.Load() > 0
 	})
 }
+
+// AcquireWithin is as Acquire for a request that must not be sent to the servers beyond.
+func (s *Service) AcquireWithin(beyond, exclude []*Server, now time.Time) *Server {
+	return s.acquire(append(beyond[:len(beyond):len(beyond)], exclude...), beyond, now)
+}
+
+// isLost reports whether the server can't be reached, and starts a probe if one is due.
+func (s *Server) isLost(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checkBlockedLocked(now) && (s.consecutiveFailures > 0 || now.Before(s.blockedUntil))
+}
--- a/lentilward/balance/order_test.go
+++ b/lentilward/balance/order_test.go
@@ -49,19 +49,29 @@
 	}
 }
 
-// Guards against an ejected server that takes the place of a healthy one in the order, so
-// that searches find no server.
-func TestEjectedServersTakeNoPlaceInTheOrder(t *testing.T) {
+// Guards against instances that run the same request on different servers since some of
+// these are ejected or paused at one of them, and against a search that finds no server since
+// those that it may use are ejected and another one serves.
+func TestEjectedServersKeepTheirPlaceInTheOrder(t *testing.T) {
 	servers := []*Server{newTestServer("a", false), newTestServer("b", false), newTestServer("c", false)}
-	servers[0].DataCentre = "z1"
 	s := newTestService(servers...)
 	now := time.Now()
-	if beyond := s.ServersBeyond(2, "z1", now); len(beyond) != 1 || beyond[0] == servers[0] {
-		t.Fatalf("beyond %v", beyond)
+	beyond := s.ServersBeyond(2, "", now)
+	for _, server := range servers {
+		if slices.Contains(beyond, server) {
+			continue
+		}
+		server.RecordPause(now.Add(time.Second))
+		if got := s.ServersBeyond(2, "", now); !slices.Equal(got, beyond) {
+			t.Fatalf("beyond %v with a paused server, %v without", got, beyond)
+		}
+		server.suspect.Store(true)
+		server.breaker.ejected, server.breaker.probeAt = true, now.Add(time.Minute)
+		if got := s.ServersBeyond(2, "", now); !slices.Equal(got, beyond) {
+			t.Fatalf("beyond %v with an ejected server, %v without", got, beyond)
+		}
 	}
-	servers[0].suspect.Store(true)
-	servers[0].breaker.ejected, servers[0].breaker.probeAt = true, now.Add(time.Minute)
-	if beyond := s.ServersBeyond(2, "z1", now); len(beyond) != 0 {
-		t.Errorf("beyond %v while one of three servers is ejected", beyond)
+	if s.AcquireWithin(beyond, nil, now.Add(2*time.Second)) == nil {
+		t.Error("no server although two may be called")
 	}
 }
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -77,7 +77,7 @@
 // may take a call, or nil if one of these is in this instance's own data centre.
 func (s *Service) RemoteDataCentres(exclude []*Server, now time.Time) []string {
 	var dataCentres []string
-	avoidsEjected := s.avoidsEjected(now)
+	avoidsEjected := s.avoidsEjected(nil, now)
 	for _, server := range s.Servers() {
 		if slices.Contains(exclude, server) || server.IsOutOfService() || server.checkBlocked(now) || avoidsEjected && server.IsEjected() {
 			continue
@@ -96,7 +96,13 @@
 // exclude, and not ejected unless no other can serve. It returns nil if none can take a
 // call now.
 func (s *Service) Acquire(exclude []*Server, now time.Time) *Server {
-	avoidsEjected := s.avoidsEjected(now)
+	return s.acquire(exclude, nil, now)
+}
+
+// acquire does the work of Acquire. Servers in beyond are in exclude and can't take the
+// calls of ejected ones.
+func (s *Service) acquire(exclude, beyond []*Server, now time.Time) *Server {
+	avoidsEjected := s.avoidsEjected(beyond, now)
 	for range s.Servers() {
 		var best *Server
 		var bestCost float64
--- a/lentilward/scatter/restrict.go
+++ b/lentilward/scatter/restrict.go
@@ -34,13 +34,13 @@
 	if p.awaitsConnection {
 		return p.service.AcquireConnectedExcept(beyond, now)
 	}
-	s := p.service.Acquire(append(beyond[:len(beyond):len(beyond)], p.tried...), now)
+	s := p.service.AcquireWithin(beyond, p.tried, now)
 	if s != nil && hedge && s.HasOverdueCall() {
 		p.service.Release(s)
 		return nil
 	}
 	if s == nil && !hedge && len(p.tried) > 0 {
-		s = p.service.Acquire(beyond, now)
+		s = p.service.AcquireWithin(beyond, nil, now)
 	}
 	return s
 }
