--- a/review/standin-2/recover.go
+++ b/review/standin-2/recover.go
@@ -88,7 +88,7 @@
 		})
 	}
 	// One request in twenty is for a document of its own: it shows that the service works.
-	sent := s.traffic(20, 22.5, finalAt+finalDown+recoveryBound+observed, func(n int) (string, requestSpec) {
+	sent := s.traffic(40, 45, finalAt+finalDown+recoveryBound+observed, func(n int) (string, requestSpec) {
 		label, target := "same", prefix+"2f"
 		if n%20 == 19 {
 			label, target = "other", fmt.Sprintf("%sd%d", prefix, n)
