--- a/review/standin-2/quota.go
+++ b/review/standin-2/quota.go
@@ -8,7 +8,10 @@
 	"time"
 )
 
-func init() { cases["quota"] = runQuota }
+func init() {
+	cases["quota-stop"] = runQuotaStop
+	cases["quota-kill"] = runQuotaKill
+}
 
 // quotaBounds are the bounds of the site evidencija-trazilica-grown, as deploy/settings.toml
 // states them.
@@ -29,30 +32,64 @@
 `
 
 const (
-	// tenantRate and tenantBurst are the allowance of the tenant, and tenantName a name whose
-	// allowance the last of the instances keeps.
-	tenantRate, tenantBurst = 200.0, 10.0
-	tenantName              = "t-2"
+	// tenantBurst is the burst of the tenant's allowance.
+	tenantBurst = 10.0
 	// quotaWindow, quotaOverage and quotaSlack are the bounds of the site.
 	quotaWindow              = 5 * time.Second
 	quotaOverage, quotaSlack = 0.1, 20.0
-	// hotFactor is how many times its allowance the tenant sends, over hotCallers connections.
-	hotFactor  = 2
-	hotCallers = 1600
-	// stopAfter is when the instance stops, and observedAfter how long the traffic goes on.
-	stopAfter, observedAfter = 10 * time.Second, 8 * time.Second
+	// disturbAfter is when the disruption comes, and observedAfter how long the traffic goes on.
+	disturbAfter, observedAfter = 10 * time.Second, 8 * time.Second
+	// restartDelay is the time until the platform starts a process again that has ended.
+	restartDelay = 300 * time.Millisecond
 )
 
-// runQuota shows that a tenant gets more than its allowance while the instance that keeps
-// the allowance stops as planned.
-func runQuota(s *site) (bool, error) {
+// runQuotaStop shows that a tenant gets more than its allowance while the instance that
+// keeps the allowance stops as planned.
+func runQuotaStop(s *site) (bool, error) {
+	return s.runQuota(quotaCase{keeper: 3, starting: 1, rate: 200, factor: 2, callers: 1600, disturb: func() {
+		i := s.instances[3]
+		i.signal(syscall.SIGTERM)
+		select {
+		case <-i.ended:
+		case <-time.After(6 * time.Second):
+			i.kill()
+		}
+		i.restart()
+	}})
+}
+
+// runQuotaKill shows that a tenant gets more than its allowance after an instance has
+// started again that takes itself for the one that keeps the allowance.
+func runQuotaKill(s *site) (bool, error) {
+	return s.runQuota(quotaCase{keeper: 3, starting: 0, rate: 300, factor: 1.9, callers: 100, disturb: func() {
+		i := s.instances[0]
+		i.kill()
+		i.restart()
+	}})
+}
+
+// restart starts the process again.
+func (i *instance) restart() {
+	time.Sleep(restartDelay)
+	if err := i.start(); err != nil {
+		i.site.record.note("starting an instance again failed: %v", err)
+	}
+}
+
+// quotaCase is a tenant that sends more than its allowance, and a disruption.
+type quotaCase struct {
+	// keeper is the number of the instance that keeps the allowance, and starting that of the
+	// one that would while all instances have just started.
+	keeper, starting int
+	// rate is the allowance in requests a second, and factor how many times that the tenant
+	// sends, over callers connections.
+	rate, factor float64
+	callers      int
+	disturb      func()
+}
+
+func (s *site) runQuota(c quotaCase) (bool, error) {
 	const host, prefix, key = "loba75.example", "/inspekcija/", "k-51"
-	s.store.configure(configuration{
-		Version:  7,
-		Routes:   []route{{Name: "r-1", Host: host, Prefix: prefix, Kind: "safe", Service: "fiwu23c", Timeout: 5 * time.Second, Target: time.Second}},
-		Services: []service{{Name: "fiwu23c", Connections: 520}},
-		Tenants:  []tenant{{Name: tenantName, Key: key, Rate: tenantRate, Burst: tenantBurst}},
-	})
 	zones := []string{"zagreb-a", "zagreb-a", "zagreb-b", "osijek"}
 	for n := range 6 {
 		settings := leafSettings{
@@ -65,6 +102,12 @@
 	if err := s.startInstances(deployment{zones: zones, memoryMB: []int{408, 408, 536, 408}, bounds: quotaBounds}); err != nil {
 		return false, err
 	}
+	s.store.configure(configuration{
+		Version:  7,
+		Routes:   []route{{Name: "r-1", Host: host, Prefix: prefix, Kind: "safe", Service: "fiwu23c", Timeout: 5 * time.Second, Target: time.Second}},
+		Services: []service{{Name: "fiwu23c", Connections: 520}},
+		Tenants:  []tenant{{Name: s.pickTenant(c.keeper, c.starting), Key: key, Rate: c.rate, Burst: tenantBurst}},
+	})
 	if err := s.awaitRotation(15 * time.Second); err != nil {
 		return false, err
 	}
@@ -72,26 +115,14 @@
 	time.Sleep(12 * time.Second)
 	started := time.Now()
 	if s.trouble {
-		time.AfterFunc(stopAfter, func() {
-			i := s.instances[len(s.instances)-1]
-			i.signal(syscall.SIGTERM)
-			select {
-			case <-i.ended:
-			case <-time.After(6 * time.Second):
-				i.kill()
-			}
-			time.Sleep(300 * time.Millisecond)
-			if err := i.start(); err != nil {
-				s.record.note("starting an instance again failed: %v", err)
-			}
-		})
+		time.AfterFunc(disturbAfter, c.disturb)
 	}
-	sent := s.traffic(hotCallers, hotFactor*tenantRate, stopAfter+observedAfter, func(n int) (string, requestSpec) {
+	sent := s.traffic(c.callers, c.factor*c.rate, disturbAfter+observedAfter, func(n int) (string, requestSpec) {
 		return "hot", requestSpec{
 			method: "GET", host: host, target: fmt.Sprintf("%sd%d", prefix, n), deadline: 5 * time.Second, header: map[string]string{"x-api-key": key},
 		}
 	})
-	return s.checkQuota(sent, started)
+	return s.checkQuota(sent, c.rate, started)
 }
 
 // arrival is a request that a server has run.
@@ -102,7 +133,7 @@
 
 // checkQuota finds the window in which most requests were sent and have arrived at a server
 // that ran them, and reports whether these are within the bound.
-func (s *site) checkQuota(sent []*sentRequest, started time.Time) (bool, error) {
+func (s *site) checkQuota(sent []*sentRequest, rate float64, started time.Time) (bool, error) {
 	var arrivals []arrival
 	s.mu.Lock()
 	for _, r := range sent {
@@ -115,7 +146,7 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(arrivals, func(a, b arrival) int { return a.sent.Compare(b.sent) })
-	bound := (tenantRate*quotaWindow.Seconds()+tenantBurst)*(1+quotaOverage) + quotaSlack
+	bound := (rate*quotaWindow.Seconds()+tenantBurst)*(1+quotaOverage) + quotaSlack
 	count := func(from time.Time) (n int, byInstance map[string]int) {
 		byInstance = map[string]int{}
 		first, _ := slices.BinarySearchFunc(arrivals, from, func(a arrival, t time.Time) int { return a.sent.Compare(t) })
