Log what each instance sends to servers that name a limit

Nothing in logs or metrics told how many calls a server gets from which instance, and the header with which it names a limit was not decoded. It is now part of a reply; while a server names a limit, each instance logs its first calls, hedges and repeats to it every 4 s, and when the limit changes or ends. No decision uses it yet.

--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -71,6 +71,7 @@
 	// suspect is set while the breaker compares the server with others, or has ejected
 	// it.
 	suspect atomic.Bool
+	limit   namedLimit
 	// onBreaker is called with mu held when the server is ejected or gets calls again.
 	onBreaker func(s *Server, ejected bool)
 
--- a/lentilward/directory/snapshot.go
+++ b/lentilward/directory/snapshot.go
@@ -130,6 +130,7 @@
 	d.updateConnectionLimits()
 	for _, tracked := range d.servers {
 		tracked.server.Pool.Trim(now)
+		d.reportLimit(tracked.server, now)
 	}
 }
 
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -312,6 +312,8 @@
 		func() float64 { return float64(g.directory.LimitedSearches(time.Now())) })
 	g.metrics.RegisterGauge("lentilward_ejected_servers", "Backend servers that get only probes because they fail while others do not.",
 		func() float64 { return float64(g.directory.EjectedServers()) })
+	g.metrics.RegisterGauge("lentilward_servers_naming_limit", "Backend servers that name a limit of requests a second in their replies.",
+		func() float64 { return float64(g.directory.ServersNamingLimit()) })
 	g.metrics.RegisterGauge("lentilward_held_reply_bytes", "Bytes of replies of backend servers that are held.",
 		func() float64 { return float64(replies.Used()) })
 	g.metrics.RegisterGauge("lentilward_held_request_bytes", "Bytes of requests of callers that are held.",
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -30,8 +30,9 @@
 	run       *run
 	partIndex int
 	server    *balance.Server
-	extra     bool
-	begin     time.Time
+	// hedge is set for a call beside another one, extra for each but the first.
+	hedge, extra bool
+	begin        time.Time
 	// sentAt is when the call got its connection; nil before.
 	sentAt atomic.Pointer[time.Time]
 	phase  atomic.Int32
@@ -66,6 +67,7 @@
 	}
 	sentAt := time.Now()
 	c.sentAt.Store(&sentAt)
+	c.server.RecordSent(c.hedge, c.extra)
 	reply, reusable, err := connection.Call(c.run.engine.codec, c.run.task.Hold, c.run.task.Request, c.server.ID, c.run.callDeadline)
 	c.mu.Lock()
 	c.conn = nil
@@ -105,6 +107,9 @@
 	if reply != nil && reply.Leaving && c.run.parts[c.partIndex].service.RecordLeaving(c.server) {
 		c.run.engine.OnLeaving(c.server)
 	}
+	if reply != nil && !reply.Misdirected {
+		c.server.RecordNamedLimit(reply.RateLimit, reply.NamesLimit, now)
+	}
 	c.mu.Lock()
 	detached, aborted := c.detached, c.aborted
 	c.mu.Unlock()
--- a/lentilward/scatter/launch.go
+++ b/lentilward/scatter/launch.go
@@ -87,7 +87,7 @@
 
 func (r *run) launchCall(i int, s *balance.Server, hedge, extra bool, now time.Time) {
 	p := &r.parts[i]
-	c := &call{run: r, partIndex: i, server: s, extra: extra, begin: now}
+	c := &call{run: r, partIndex: i, server: s, hedge: hedge, extra: extra, begin: now}
 	p.calls = append(p.calls, c)
 	p.tried = append(p.tried, s)
 	p.startedCalls++
--- a/schema/domain/domain.go
+++ b/schema/domain/domain.go
@@ -171,6 +171,10 @@
 	RetryAfter time.Duration
 	// ColdFor is the remaining duration of the cold start that the server reports.
 	ColdFor time.Duration
+	// NamesLimit is true if the server names a limit: RateLimit is the number of requests
+	// a second that it takes from all instances together.
+	NamesLimit bool
+	RateLimit  float64
 	// Close is true if the server accepts no further request on the connection.
 	// KeepAlive is the server's idle timeout for the connection; 0 if it gave
 	// none.
