--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -41,6 +41,8 @@
 	// they start.
 	configure func(*Options)
 	prepare   func(number int, g *Gateway)
+	// killFuncs end the processes of instances, by number.
+	killFuncs map[int]func()
 	// dataCentre returns the data centre of an instance; nil for z1.
 	dataCentre func(number int) string
 }
@@ -48,7 +50,7 @@
 func newMemoryPlatform(t *testing.T) *memoryPlatform {
 	p := &memoryPlatform{
 		ctx: t.Context(), network: newMemoryNetwork(t), store: standin.New(1),
-		configure: func(*Options) {}, prepare: func(int, *Gateway) {},
+		configure: func(*Options) {}, prepare: func(int, *Gateway) {}, killFuncs: make(map[int]func()),
 	}
 	p.serve(t, storeAddress, p.store.Handler())
 	backendServer := netip.MustParseAddrPort("10.9.0.1:80")
@@ -124,7 +126,8 @@
 		pool.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			return dial(ctx, "tcp", address.String())
 		}
-		return balance.NewServer(b, pool, false)
+		server := balance.NewServer(b, pool, false)
+		return server
 	}
 	p.prepare(number, g)
 	processCtx, cancel := context.WithCancel(p.ctx)
@@ -136,6 +139,12 @@
 			t.Error(err)
 		}
 	}()
+	p.killFuncs[number] = func() {
+		cancel()
+		time.Sleep(time.Millisecond)
+		p.network.disconnect(host)
+		g.links.Close()
+	}
 	t.Cleanup(func() {
 		cancel()
 		<-stopped
--- /dev/null
+++ b/lentilward/gateway_limits_test.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Bounds of a server's named limit: in any limitWindow it gets at most limitFactor times
+// what the limit allows and limitSlack requests, from limitSettleTime after it was first
+// named.
+const (
+	limitWindow     = 4 * time.Second
+	limitFactor     = 1.5
+	limitSlack      = 5
+	limitSettleTime = 4 * time.Second
+)
+
+// limitedServer is a backend server that names a limit in its replies for a time.
+type limitedServer struct {
+	mu        sync.Mutex
+	perSecond float64
+	named     bool
+	namedAt   time.Time
+	arrivals  []time.Time
+}
+
+// name makes the server name a limit from now on, or none.
+func (s *limitedServer) name(perSecond float64, named bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.perSecond, s.named = perSecond, named
+	if named {
+		s.namedAt, s.arrivals = time.Now(), nil
+	}
+}
+
+func (s *limitedServer) respond(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	if s.named {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(s.perSecond, 'f', -1, 64))
+	}
+	s.mu.Unlock()
+	time.Sleep(5 * time.Millisecond)
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Server-Stamp", "s")
+}
+
+// largestWindow returns the most requests that arrived in a limitWindow once the limit
+// binds.
+func (s *limitedServer) largestWindow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, first := 0, 0
+	for last, at := range s.arrivals {
+		for at.Sub(s.arrivals[first]) > limitWindow || s.arrivals[first].Sub(s.namedAt) < limitSettleTime && first < last {
+			first++
+		}
+		if at.Sub(s.namedAt) >= limitSettleTime {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
+// since returns the number of requests that have arrived since a time.
+func (s *limitedServer) since(at time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, arrival := range s.arrivals {
+		if !arrival.Before(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// load sends requests to instances at a steady pace for a time, and waits for the answers.
+// It returns how many were answered with each status, and the longest time that a refusal
+// took.
+func load(fleet func() []*Gateway, pause, d time.Duration) (statuses map[int]int, slowestRefusal time.Duration) {
+	var mu sync.Mutex
+	var pending sync.WaitGroup
+	statuses = make(map[int]int)
+	for i, begin := 0, time.Now(); time.Since(begin) < d; i++ {
+		instances := fleet()
+		g := instances[i%len(instances)]
+		pending.Go(func() {
+			at := time.Now()
+			r := httptest.NewRequest(http.MethodGet, "/a/", nil)
+			r.Host = "h"
+			r.Header.Set("Request-Id", fmt.Sprintf("q%d", at.UnixNano()))
+			w := httptest.NewRecorder()
+			g.callers.ServeHTTP(w, r)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[w.Code]++
+			if w.Code != http.StatusOK {
+				slowestRefusal = max(slowestRefusal, time.Since(at))
+			}
+		})
+		time.Sleep(pause)
+	}
+	pending.Wait()
+	return statuses, slowestRefusal
+}
+
+// Guards against a server that names a limit and gets far more from all instances together
+// (found in an incident), also while an instance is stopped and started again.
+func TestServerGetsItsNamedLimitFromAllInstances(t *testing.T) {
+	for _, instances := range []int{4, 12} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newMemoryPlatform(t)
+				server := &limitedServer{}
+				p.respond = server.respond
+				p.publishRoutes(t, 1, "/a/")
+				f := startChangingFleet(t, p, instances)
+				const perSecond = 20
+				server.name(perSecond, true)
+				go func() {
+					for i := range limitSeeds {
+						time.Sleep(8 * time.Second)
+						f.stop(i)
+						time.Sleep(stopGrace)
+						f.kill(i)
+						f.start(i)
+					}
+				}()
+				statuses, _ := load(f.serving, 5*time.Millisecond, 50*time.Second)
+				bound := int(limitFactor*perSecond*limitWindow.Seconds()) + limitSlack
+				most, served := server.largestWindow(), server.since(server.namedAt.Add(limitSettleTime))
+				t.Logf("at most %d requests in %v, %d in all; answers %v", most, limitWindow, served, statuses)
+				if most > bound {
+					t.Errorf("%d requests in %v, want at most %d", most, limitWindow, bound)
+				}
+				if least := int(0.8 * perSecond * 46); served < least {
+					t.Errorf("%d requests arrived, want at least %d: the limit is not used", served, least)
+				}
+				server.name(0, false)
+				load(f.serving, 20*time.Millisecond, 3*time.Second)
+				if statuses, _ := load(f.serving, 10*time.Millisecond, 3*time.Second); statuses[http.StatusOK] < 290 {
+					t.Errorf("answers %v after the server names no limit any more, want 300 of status 200", statuses)
+				}
+			})
+		})
+	}
+}
