Separate how a limit is shared from the allowances of tenants

The sharing of an allowance among instances (home, members, fallback, samples) is needed for another kind of limit. No change of behaviour.

--- a/lentilward/quota/home.go
+++ b/lentilward/quota/home.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -30,8 +32,9 @@
 
 // Ask is the request of an instance for tokens.
 type Ask struct {
-	Tenant string `cbor:"tenant"`
-	Limit  Limit  `cbor:"limit"`
+	// Subject is what the limit is on: a tenant, or a backend server.
+	Subject string `cbor:"tenant"`
+	Limit   Limit  `cbor:"limit"`
 	// Need is the number of requests that wait, Ahead the number that is expected within
 	// a term besides.
 	Need  int `cbor:"need"`
@@ -71,6 +74,8 @@
 	// Suspended returns for how long the machine has been suspended so far, which the
 	// runtime's clock does not count.
 	Suspended func() time.Duration
+	// Key returns the key of a subject by which its home is found.
+	Key func(subject string) string
 	// OnFrozen is called when the process was frozen or suspended.
 	OnFrozen func(tenants int)
 
@@ -102,7 +107,7 @@
 func NewHome(s Settings) *Home {
 	now := time.Now()
 	return &Home{
-		Suspended: func() time.Duration { return 0 }, OnFrozen: func(int) {},
+		Suspended: func() time.Duration { return 0 }, Key: ownKey, OnFrozen: func(int) {},
 		settings: s, since: now, lenders: make(map[string]*lender),
 	}
 }
@@ -119,10 +124,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.detectFreeze(now)
-	l := h.lenders[a.Tenant]
+	l := h.lenders[a.Subject]
 	if l == nil {
 		l = h.newLender(a.Limit, v, now)
-		h.lenders[a.Tenant] = l
+		h.lenders[a.Subject] = l
 	} else if a.Limit.Version >= l.limit.Version {
 		l.limit = a.Limit
 	}
@@ -229,22 +234,22 @@
 	}
 }
 
-// Short returns the tenants that may use up what this instance lends, so that it matters
-// whether all instances ask this one.
+// Short returns the keys of the subjects that may use up what this instance lends, so that
+// it matters whether all instances ask this one.
 func (h *Home) Short(now time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var tenants []string
+	keys := make(map[string]bool)
 	for tenant, l := range h.lenders {
 		if now.Sub(l.askedAt) >= sampleTTL || !h.settings.needsSample(l.limit) {
 			continue
 		}
 		l.demand.advance(now)
 		if l.unsure || l.bucket.Level(now) < l.bucket.size/2 && l.demand.perSecond > shortUse*l.limit.Rate {
-			tenants = append(tenants, tenant)
+			keys[h.Key(tenant)] = true
 		}
 	}
-	return tenants
+	return slices.Sorted(maps.Keys(keys))
 }
 
 // needsSample reports whether smallTenantHomes homes of a tenant at the same time could
@@ -255,12 +260,14 @@
 }
 
 // SetSample records the part of the sampled instances that consider this one as the home
-// of a tenant.
-func (h *Home) SetSample(tenant string, part float64, now time.Time) {
+// of the subjects with a key.
+func (h *Home) SetSample(key string, part float64, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if l := h.lenders[tenant]; l != nil {
-		l.part, l.sampledAt, l.unsure = part, now, false
+	for subject, l := range h.lenders {
+		if h.Key(subject) == key {
+			l.part, l.sampledAt, l.unsure = part, now, false
+		}
 	}
 }
 
--- a/lentilward/quota/homes.go
+++ b/lentilward/quota/homes.go
@@ -42,6 +42,9 @@
 	// Send asks an instance. A final question is answered by the one that gets it; others
 	// may be answered with the home that it knows.
 	Send func(ctx context.Context, to P, a Ask, final bool) (Reply[P], error)
+	// Key returns the key of a subject by which its home is found. Subjects with the same key
+	// have the same home.
+	Key func(subject string) string
 	// OnMoved is called when an instance has named another home than this one knows.
 	OnMoved func()
 
@@ -65,25 +68,34 @@
 
 // NewHomes returns the homes as the instance self sees them.
 func NewHomes[P comparable](self P) *Homes[P] {
-	return &Homes[P]{Seeds: func() []Candidate[P] { return nil }, OnMoved: func() {}, self: self, silent: make(map[P]silence)}
+	return &Homes[P]{
+		Seeds: func() []Candidate[P] { return nil }, Key: ownKey, OnMoved: func() {}, self: self, silent: make(map[P]silence),
+	}
 }
 
-// Of returns the home of a tenant, and false if no candidate has replied lately.
-func (f *Homes[P]) Of(tenant string) (home P, ok bool) { return f.first(tenant, f.Candidates()) }
+// ownKey is the key of subjects each of which has a home of its own.
+func ownKey(subject string) string { return subject }
+
+// Of returns the home of a subject, and false if no candidate has replied lately.
+func (f *Homes[P]) Of(subject string) (home P, ok bool) { return f.OfKey(f.Key(subject)) }
 
-// choose returns the instance to ask about a tenant.
-func (f *Homes[P]) choose(tenant string) (to P, ok bool) {
+// OfKey returns the home of the subjects with a key, and false if no candidate has replied
+// lately.
+func (f *Homes[P]) OfKey(key string) (home P, ok bool) { return f.first(key, f.Candidates()) }
+
+// choose returns the instance to ask about a subject.
+func (f *Homes[P]) choose(subject string) (to P, ok bool) {
 	if seeds := f.Seeds(); len(seeds) > 0 {
-		if to, ok := f.first(tenant, seeds); ok {
+		if to, ok := f.first(f.Key(subject), seeds); ok {
 			return to, true
 		}
 	}
-	return f.Of(tenant)
+	return f.Of(subject)
 }
 
-// first returns the first of the candidates in rendezvous hashing order that has replied
-// lately.
-func (f *Homes[P]) first(tenant string, candidates []Candidate[P]) (home P, ok bool) {
+// first returns the first of the candidates in rendezvous hashing order of a key that has
+// replied lately.
+func (f *Homes[P]) first(key string, candidates []Candidate[P]) (home P, ok bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -92,23 +104,23 @@
 		if now.Before(f.silent[c.Peer].until) && c.Peer != f.self {
 			continue
 		}
-		if hash := xxhash.Sum64String(c.Name + "\x00quota\x00" + tenant); !ok || hash > bestHash {
+		if hash := xxhash.Sum64String(c.Name + "\x00quota\x00" + key); !ok || hash > bestHash {
 			home, bestHash, ok = c.Peer, hash, true
 		}
 	}
 	return home, ok
 }
 
-// IsHome reports whether an instance is the home of a tenant.
-func (f *Homes[P]) IsHome(p P, tenant string) bool {
-	home, ok := f.Of(tenant)
+// IsHome reports whether an instance is the home of a subject.
+func (f *Homes[P]) IsHome(p P, subject string) bool {
+	home, ok := f.Of(subject)
 	return ok && home == p
 }
 
 // Ask asks the home of a tenant. It follows the answers of instances that know another
 // home, and passes over those that do not reply.
 func (f *Homes[P]) Ask(ctx context.Context, a Ask) (Grant, error) {
-	to, ok := f.choose(a.Tenant)
+	to, ok := f.choose(a.Subject)
 	final, err := false, ErrNoHome
 	for attempt := 0; ok && attempt < maxAttempts; attempt++ {
 		final = final || attempt == maxAttempts-1
@@ -126,7 +138,7 @@
 			f.recordSilence(to)
 			// What is reported may have arrived.
 			a.Returned, a.Demand = 0, 0
-			to, ok = f.choose(a.Tenant)
+			to, ok = f.choose(a.Subject)
 			final = false
 		case reply.Moved && f.isSilent(reply.Home):
 			// The two disagree about whether the home is alive; the one that replies lends.
--- a/lentilward/quota/local.go
+++ b/lentilward/quota/local.go
@@ -221,7 +221,7 @@
 func (l *Local) startAsk(tenant string, t *borrower, need int, now time.Time) {
 	t.demand.advance(now)
 	a := Ask{
-		Tenant: tenant, Limit: t.limit, Need: need, Ahead: t.ahead(l.settings.term()),
+		Subject: tenant, Limit: t.limit, Need: need, Ahead: t.ahead(l.settings.term()),
 		Demand: t.requests, Returned: t.returned, Spent: t.spent,
 	}
 	if t.spent > 0 && now.Sub(t.spentAt) > l.settings.Window {
--- a/lentilward/quota/model_test.go
+++ b/lentilward/quota/model_test.go
@@ -119,12 +119,12 @@
 			m.instances[to].joined.Store(true)
 			m.mu.Unlock()
 		}
-		reply := Reply[int]{Home: m.homeOf(to, a.Tenant)}
+		reply := Reply[int]{Home: m.homeOf(to, a.Subject)}
 		if reply.Moved = reply.Home != to && reply.Home >= 0 && !final; !reply.Moved {
 			m.mu.Lock()
 			lender := m.instances[to].home
 			m.mu.Unlock()
-			reply.Grant = lender.Lend(a, m.view(to, a.Tenant), time.Now())
+			reply.Grant = lender.Lend(a, m.view(to, a.Subject), time.Now())
 		}
 		return reply, m.travel(ctx, to, i)
 	}
--- a/lentilward/quota/quota_test.go
+++ b/lentilward/quota/quota_test.go
@@ -18,7 +18,7 @@
 func drain(h *Home, tenant string, limit Limit, since time.Time, d time.Duration) int {
 	granted := 0
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		granted += h.Lend(Ask{Tenant: tenant, Limit: limit, Need: 1, Demand: 1}, wholeView(since), time.Now()).Granted
+		granted += h.Lend(Ask{Subject: tenant, Limit: limit, Need: 1, Demand: 1}, wholeView(since), time.Now()).Granted
 	}
 	return granted
 }
@@ -37,7 +37,7 @@
 			isHome := func(string) bool { return true }
 			for range 200 {
 				h.Tick(isHome, time.Now())
-				h.Lend(Ask{Tenant: "a", Limit: limit, Need: 1, Demand: 1}, wholeView(start), time.Now())
+				h.Lend(Ask{Subject: "a", Limit: limit, Need: 1, Demand: 1}, wholeView(start), time.Now())
 				h.SetSample("a", 1, time.Now())
 				time.Sleep(TickInterval)
 			}
@@ -71,7 +71,7 @@
 			home = i < 100 || i >= 200
 			h.Tick(func(string) bool { return home }, time.Now())
 			if i < 100 {
-				h.Lend(Ask{Tenant: "a", Limit: limit, Need: 1}, wholeView(start), time.Now())
+				h.Lend(Ask{Subject: "a", Limit: limit, Need: 1}, wholeView(start), time.Now())
 			}
 			if i == 200 {
 				if granted := drain(h, "a", limit, start, 200*time.Millisecond); granted > 12 {
@@ -202,7 +202,7 @@
 		time.Sleep(time.Minute)
 		for _, pause := range []time.Duration{0, 50, 50, 50, 50, 400, 50, 50, 50, 2000, 50, 50, 50} {
 			time.Sleep(pause * time.Millisecond)
-			granted += h.Lend(Ask{Tenant: "a", Limit: limit, Need: 1, Demand: 1}, wholeView(time.Now().Add(-time.Minute)), time.Now()).Granted
+			granted += h.Lend(Ask{Subject: "a", Limit: limit, Need: 1, Demand: 1}, wholeView(time.Now().Add(-time.Minute)), time.Now()).Granted
 		}
 		if granted != 13 {
 			t.Errorf("granted %d of 13 requests in 3 s, 18 are allowed in 5 s", granted)
@@ -217,7 +217,7 @@
 		start := time.Now()
 		h := NewHome(testSettings)
 		ask := func(l Limit) int {
-			return h.Lend(Ask{Tenant: "a", Limit: l, Need: 1}, wholeView(start), time.Now()).Granted
+			return h.Lend(Ask{Subject: "a", Limit: l, Need: 1}, wholeView(start), time.Now()).Granted
 		}
 		time.Sleep(time.Minute)
 		ask(Limit{Rate: 100, Burst: 100, Version: 1})
@@ -305,7 +305,7 @@
 			return Reply[int]{Grant: Grant{Granted: 1}}, nil
 		}
 		for range 3 {
-			if g, err := f.Ask(t.Context(), Ask{Tenant: tenant, Need: 1}); err != nil || g.Granted != 1 {
+			if g, err := f.Ask(t.Context(), Ask{Subject: tenant, Need: 1}); err != nil || g.Granted != 1 {
 				t.Fatalf("granted %d, error %v", g.Granted, err)
 			}
 		}
--- a/lentilward/quota/sample.go
+++ b/lentilward/quota/sample.go
@@ -17,20 +17,20 @@
 )
 
 // Sample asks some of the peers, and those lost recently, which instance is the home of
-// each tenant that is short, and lends only the part of those that name this one. So the
-// parts that several homes of one tenant lend add up to about the whole. Peers that name an
+// each key that is short, and lends only the part of those that name this one. So the
+// parts that several homes of one subject lend add up to about the whole. Peers that name an
 // instance that itself names this one count too, since it passes their questions on. ask
-// returns the homes of tenants in the same order.
-func Sample[P comparable](ctx context.Context, h *Home, self P, peers []P, ask func(ctx context.Context, peer P, tenants []string) ([]P, error)) {
-	tenants := h.Short(time.Now())
-	if len(tenants) == 0 {
+// returns the homes of keys in the same order.
+func Sample[P comparable](ctx context.Context, h *Home, self P, peers []P, ask func(ctx context.Context, peer P, keys []string) ([]P, error)) {
+	keys := h.Short(time.Now())
+	if len(keys) == 0 {
 		return
 	}
 	known := len(peers) + 1
 	all := slices.Clone(peers)
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	peers = all[:min(len(all), sampleSize)]
-	replies := askAll(ctx, peers, tenants, ask)
+	replies := askAll(ctx, peers, keys, ask)
 	var others []P
 	for _, homes := range replies {
 		for _, home := range homes {
@@ -39,13 +39,13 @@
 			}
 		}
 	}
-	forwarders := askAll(ctx, others, tenants, ask)
+	forwarders := askAll(ctx, others, keys, ask)
 	for _, p := range peers {
 		if homes, ok := replies[p]; ok {
 			forwarders[p] = homes
 		}
 	}
-	for i, tenant := range tenants {
+	for i, key := range keys {
 		agreed := 0
 		for _, homes := range replies {
 			if homes[i] == self {
@@ -58,12 +58,12 @@
 		if len(peers) > 0 {
 			part = (1 + float64(known-1)*float64(agreed)/float64(len(peers))) / float64(known)
 		}
-		h.SetSample(tenant, part, time.Now())
+		h.SetSample(key, part, time.Now())
 	}
 }
 
 // askAll asks all peers at once and returns the replies that arrive in time.
-func askAll[P comparable](ctx context.Context, peers []P, tenants []string, ask func(ctx context.Context, peer P, tenants []string) ([]P, error)) map[P][]P {
+func askAll[P comparable](ctx context.Context, peers []P, keys []string, ask func(ctx context.Context, peer P, keys []string) ([]P, error)) map[P][]P {
 	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
 	type reply struct {
@@ -73,8 +73,8 @@
 	received := make(chan reply, len(peers))
 	for _, p := range peers {
 		go func() {
-			homes, err := ask(ctx, p, tenants)
-			if err != nil || len(homes) != len(tenants) {
+			homes, err := ask(ctx, p, keys)
+			if err != nil || len(homes) != len(keys) {
 				homes = nil
 			}
 			received <- reply{p, homes}
