Let a stopping instance be no home of an allowance any more

Callers saw more requests of a tenant run than its allowance while an instance stopped (QUOTA). Cause: an instance that has announced that it leaves is no home for the others, which take the next one at once, but went on taking itself for the home, and its callers stay on their connections until it ends. Now it is no candidate of its own either: it asks its successor like all others, and passes on questions that reach it, final ones too.

--- a/lentilward/gateway_lending.go
+++ b/lentilward/gateway_lending.go
@@ -103,6 +103,13 @@
 	return time.Since(l.gateway.fleet.started) < discoveryPeriod && !l.joined.Load() && len(l.gateway.options.Load().Peers) > 0
 }
 
+// isLeaving reports whether this instance stops: the others have another home by then.
+func (l *lending) isLeaving() bool {
+	members := l.gateway.board.Members.Load()
+	self, found := members.Find(members.Self)
+	return found && self.State == blackboard.Leaving
+}
+
 func (l *lending) candidates() []quota.Candidate[netip.AddrPort] {
 	if l.isStarting() {
 		return l.seedCandidates()
@@ -110,7 +117,7 @@
 	var candidates []quota.Candidate[netip.AddrPort]
 	members := l.gateway.board.Members.Load()
 	for _, m := range members.List {
-		if m.State == blackboard.Alive || m.State == blackboard.Suspected || m.Name == members.Self {
+		if m.State == blackboard.Alive || m.State == blackboard.Suspected || m.Name == members.Self && m.State != blackboard.Leaving {
 			candidates = append(candidates, quota.Candidate[netip.AddrPort]{Peer: m.Address, Name: m.Name})
 		}
 	}
@@ -120,7 +127,7 @@
 // seeds returns the instances that are asked first in the time in which this one discovers
 // its peers. A home that it found among few members would be its own.
 func (l *lending) seeds() []quota.Candidate[netip.AddrPort] {
-	if time.Since(l.gateway.fleet.started) >= discoveryPeriod {
+	if time.Since(l.gateway.fleet.started) >= discoveryPeriod || l.isLeaving() {
 		return nil
 	}
 	return l.seedCandidates()
@@ -148,7 +155,7 @@
 	}
 	home, ok := l.homes.Of(ask.Subject)
 	isHome := ok && home == l.self
-	if ok && !isHome && !final {
+	if ok && !isHome && (!final || l.isLeaving()) {
 		return peer.QuotaReply{Moved: true, Home: home}
 	}
 	reply := peer.QuotaReply{Grant: l.home.Lend(ask, l.view(isHome), time.Now())}
