Let a seed that has just started ask whether it is the home

In the first 5 s after its start an instance looks for homes among the seeds only, so that instances which all start at once agree. A seed that was restarted alone found itself among them and lent to itself, beside the home that the others use. Now it asks the other seeds first and follows what they name.

--- a/lentilward/gateway_lending.go
+++ b/lentilward/gateway_lending.go
@@ -21,6 +21,8 @@
 	// a limit. A home lends only the part of those that are alive, since the lost ones may
 	// be cut off and serve. Members forget each other after a minute.
 	lostMemberPeriod = 10 * time.Minute
+	// confirmTimeout bounds the question of a starting instance whether it is the home.
+	confirmTimeout = 100 * time.Millisecond
 	// maxClockGap is the most time between the readings of two clocks that are compared.
 	maxClockGap = 10 * time.Millisecond
 	// lendingLogInterval is the shortest time between two log lines about homes that do not
@@ -144,9 +146,40 @@
 	if to != l.self {
 		return l.ask(ctx, to, ask, final)
 	}
+	if home, ok := l.findHome(ctx, ask.Subject); ok && home != l.self {
+		return peer.QuotaReply{Moved: true, Home: home}, nil
+	}
 	return l.lend(ask, final), nil
 }
 
+// findHome returns the home that another seed knows, if this instance is a seed that has
+// just started and would lend to itself: the others may have been running all the while.
+// ok is false if this does not apply, or no other seed replies.
+func (l *lending) findHome(ctx context.Context, subject string) (home netip.AddrPort, ok bool) {
+	if !l.isStarting() {
+		return home, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	others := lo.Without(l.gateway.options.Load().Peers, l.self)
+	replies := make(chan netip.AddrPort, len(others))
+	for _, seed := range others {
+		go func() {
+			homes, err := l.askHomes(ctx, seed, []string{l.homes.Key(subject)})
+			if err != nil || len(homes) != 1 {
+				homes = []netip.AddrPort{{}}
+			}
+			replies <- homes[0]
+		}()
+	}
+	for range others {
+		if home = <-replies; home.IsValid() {
+			return home, true
+		}
+	}
+	return home, false
+}
+
 // lend answers an instance that asks for tokens.
 func (l *lending) lend(ask quota.Ask, final bool) peer.QuotaReply {
 	if !slices.Contains(l.gateway.options.Load().Peers, l.self) {
