Keep the calls to a server within the limit that it names

A limit that each instance kept by itself would not do: nearly all calls to a server come from the one instance that gathers near it.

Each server that names a limit is a subject of a lending, as tenants are: one instance, its home, lends tokens for calls to all. A call takes a token together with its slot, wherever it starts (first calls, hedges, retries, probes, trials, gathers, holders); what was not sent gives it back. A server without a token at hand is passed over like one without a slot, and a token is asked for if it would have been the best choice; requests for which no other server is left wait in the service's queue and are woken by the reply.

--- a/lentilward/balance/breaker.go
+++ b/lentilward/balance/breaker.go
@@ -296,7 +296,7 @@
 		if s.isPermitted(server) {
 			return server
 		}
-		server.inFlight.Add(-1)
+		server.returnSlot()
 	}
 	return nil
 }
--- a/lentilward/balance/explain.go
+++ b/lentilward/balance/explain.go
@@ -23,6 +23,9 @@
 	Limit    int32   `json:"limit"`
 	// Share is the share of its usual calls that a paced server gets.
 	Share float64 `json:"share,omitempty"`
+	// NamedLimit is the limit of requests a second that the server names for all instances
+	// together.
+	NamedLimit float64 `json:"named-limit,omitempty"`
 
 	blocked bool
 	rank    int
@@ -132,7 +135,10 @@
 	measured.decayMeasurements(now)
 	v.blocked = s.IsOutOfService() || unreachable || wrong || paused
 	full, reset := v.InFlight >= v.Limit, !s.Pool.CanConnect(now)
-	p := s.pace.Load()
+	p, noToken := s.pace.Load(), s.lacksToken()
+	if limit := s.limit.Load(); limit != nil {
+		v.NamedLimit = limit.Rate
+	}
 	for _, state := range []struct {
 		name string
 		set  bool
@@ -149,6 +155,7 @@
 		{"overdue-calls", s.HasOverdueCall()},
 		{"paced", p != nil},
 		{"cold", s.IsCold(now)},
+		{"at-named-limit", noToken},
 	} {
 		if state.set {
 			v.States = append(v.States, state.name)
@@ -163,7 +170,7 @@
 			v.rank = rankDeferred
 		}
 	}
-	v.Usable = !v.blocked && !full && !reset
+	v.Usable = !v.blocked && !full && !reset && !noToken
 	if !v.Usable {
 		v.rank = rankUnusable
 		return v
--- a/lentilward/balance/limited.go
+++ b/lentilward/balance/limited.go
@@ -3,6 +3,16 @@
 import (
 	"sync"
 	"time"
+
+	"lentilward.org/lentilward/quota"
+)
+
+const (
+	// minNamedLimit is the least limit that is kept, in requests a second: without any
+	// request it would never be known that the server names no limit any more.
+	minNamedLimit = 0.5
+	// limitBurstPeriod is the time whose requests a server gets at once after a pause.
+	limitBurstPeriod = 500 * time.Millisecond
 )
 
 // namedLimit is the limit of requests a second that a server has named in its replies for
@@ -35,9 +45,10 @@
 
 // RecordNamedLimit records whether a reply of the server named a limit, and which.
 func (s *Server) RecordNamedLimit(perSecond float64, named bool, now time.Time) {
-	l := &s.limit
+	l := &s.named
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer s.applyNamedLimit()
 	if !named {
 		l.since, l.changedAt, l.perSecond = time.Time{}, time.Time{}, 0
 		return
@@ -50,11 +61,75 @@
 	}
 }
 
+// applyNamedLimit makes the limit that was named last apply. The caller holds named.mu.
+func (s *Server) applyNamedLimit() {
+	if s.named.since.IsZero() {
+		s.limit.Store(nil)
+		return
+	}
+	rate := max(minNamedLimit, s.named.perSecond)
+	if old := s.limit.Load(); old == nil || old.Rate != rate {
+		s.limit.Store(&quota.Limit{Rate: rate, Burst: rate * limitBurstPeriod.Seconds()})
+	}
+}
+
+// SetTokens sets what lends the tokens for calls to servers that name a limit; nil if limits
+// are not kept. It must be called before the server is used.
+func (s *Server) SetTokens(tokens *quota.Local) { s.tokens = tokens }
+
+// lacksToken reports whether the server names a limit and no token is at hand for a call.
+func (s *Server) lacksToken() bool {
+	limit := s.limit.Load()
+	return limit != nil && s.tokens != nil && !s.tokens.HasToken(s.ID, *limit)
+}
+
+// takeToken takes a token for a call, and reports whether the server needs none or one was
+// at hand.
+func (s *Server) takeToken() bool {
+	limit := s.limit.Load()
+	return limit == nil || s.tokens == nil || s.tokens.TryTake(s.ID, *limit)
+}
+
+// wantToken asks for a token in the background. Those that wait for the service are woken
+// once it is known whether there is one.
+func (s *Server) wantToken() {
+	limit := s.limit.Load()
+	if limit == nil || s.tokens == nil {
+		return
+	}
+	s.mu.Lock()
+	wake := s.wakeWaiters
+	s.mu.Unlock()
+	if wake == nil {
+		wake = func(int) {}
+	}
+	s.tokens.Want(s.ID, *limit, wake)
+}
+
+// isDeniedToken reports whether it is known that there is no token for a while.
+func (s *Server) isDeniedToken(now time.Time) bool { return s.tokenDelay(now) > 0 }
+
+// tokenDelay returns the time until there may be a token for a call; 0 if the server names
+// no limit or that is not known.
+func (s *Server) tokenDelay(now time.Time) time.Duration {
+	if s.limit.Load() == nil || s.tokens == nil {
+		return 0
+	}
+	return max(0, s.tokens.TokenAt(s.ID).Sub(now))
+}
+
+// returnToken gives the token of a call back that was not sent.
+func (s *Server) returnToken() {
+	if s.limit.Load() != nil && s.tokens != nil {
+		s.tokens.Refund(s.ID)
+	}
+}
+
 // NamesLimit reports whether the latest reply of the server named a limit.
 func (s *Server) NamesLimit() bool {
-	s.limit.mu.Lock()
-	defer s.limit.mu.Unlock()
-	return !s.limit.since.IsZero()
+	s.named.mu.Lock()
+	defer s.named.mu.Unlock()
+	return !s.named.since.IsZero()
 }
 
 // recordSent counts a call that is sent to a server that names a limit.
@@ -73,12 +148,12 @@
 }
 
 // RecordSent counts a call that is sent to the server.
-func (s *Server) RecordSent(hedge, retry bool) { s.limit.recordSent(hedge, retry) }
+func (s *Server) RecordSent(hedge, retry bool) { s.named.recordSent(hedge, retry) }
 
 // ReportLimit returns a report if the server has named another limit than at the last
 // report, names none any more, or names one and the last report is an interval ago.
 func (s *Server) ReportLimit(interval time.Duration, now time.Time) (r LimitReport, ok bool) {
-	l := &s.limit
+	l := &s.named
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	named := !l.since.IsZero()
--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -9,6 +9,7 @@
 
 	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/pace"
+	"lentilward.org/lentilward/quota"
 	"lentilward.org/schema/domain"
 )
 
@@ -71,7 +72,11 @@
 	// suspect is set while the breaker compares the server with others, or has ejected
 	// it.
 	suspect atomic.Bool
-	limit   namedLimit
+	// named is the limit that the server names, and limit what applies of it; nil while it
+	// names none. tokens lends the tokens for calls.
+	named  namedLimit
+	limit  atomic.Pointer[quota.Limit]
+	tokens *quota.Local
 	// onBreaker is called with mu held when the server is ejected or gets calls again.
 	onBreaker func(s *Server, ejected bool)
 
@@ -93,7 +98,9 @@
 	// lastReply is the time of the server's latest reply.
 	lastReply time.Time
 	// onReachable is called once a server that was unreachable is reachable again.
-	onReachable     func()
+	onReachable func()
+	// wakeWaiters wakes a number of requests that wait for the service.
+	wakeWaiters     func(n int)
 	overloadedUntil time.Time
 	lastSample      time.Time
 }
@@ -150,7 +157,8 @@
 	}
 }
 
-// acquireSlot takes a slot for one call and reports whether one was free.
+// acquireSlot takes a slot for one call, and a token if the server names a limit. It reports
+// whether both were at hand.
 func (s *Server) acquireSlot() bool {
 	for {
 		n := s.inFlight.Load()
@@ -158,9 +166,20 @@
 			return false
 		}
 		if s.inFlight.CompareAndSwap(n, n+1) {
-			return true
+			break
 		}
 	}
+	if !s.takeToken() {
+		s.inFlight.Add(-1)
+		return false
+	}
+	return true
+}
+
+// returnSlot returns the slot of a call that was not sent.
+func (s *Server) returnSlot() {
+	s.returnToken()
+	s.inFlight.Add(-1)
 }
 
 // checkBlockedLocked reports whether the server must get no calls, and starts a
@@ -201,11 +220,12 @@
 	}
 }
 
-// setOnReachable sets the function to call once the server is reachable again.
-func (s *Server) setOnReachable(f func()) {
+// setOnReachable sets the function to call once the server is reachable again, and the one
+// that wakes requests that wait for the service.
+func (s *Server) setOnReachable(f func(), wakeWaiters func(n int)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.onReachable = f
+	s.onReachable, s.wakeWaiters = f, wakeWaiters
 }
 
 // probeBackoff returns the delay until the next probe of a server that could not
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -42,7 +42,7 @@
 // SetServers replaces the servers and wakes all waiters.
 func (s *Service) SetServers(servers []*Server) {
 	for _, server := range servers {
-		server.setOnReachable(s.wakeNext)
+		server.setOnReachable(s.wakeNext, s.wakeUpTo)
 		server.setOnBreaker(s.handleBreaker)
 	}
 	s.setServersInService(servers)
@@ -61,11 +61,14 @@
 }
 
 // wakeAll wakes all waiters, since the servers that may take a call have changed.
-func (s *Service) wakeAll() {
+func (s *Service) wakeAll() { s.wakeUpTo(math.MaxInt) }
+
+// wakeUpTo wakes at most n of those that wait now.
+func (s *Service) wakeUpTo(n int) {
 	s.mu.Lock()
 	waiting := len(s.waiters)
 	s.mu.Unlock()
-	for range waiting {
+	for range min(n, waiting) {
 		s.wakeNext()
 	}
 }
@@ -100,20 +103,30 @@
 }
 
 // acquire does the work of Acquire. Servers in beyond are in exclude and can't take the
-// calls of ejected ones.
+// calls of ejected ones. Of a server that would be the best but has no token, it asks for one.
 func (s *Service) acquire(exclude, beyond []*Server, now time.Time) *Server {
 	avoidsEjected := s.avoidsEjected(beyond, now)
 	for range s.Servers() {
-		var best *Server
-		var bestCost float64
+		var best, limited *Server
+		var bestCost, limitedCost float64
 		for _, server := range s.Servers() {
 			if slices.Contains(exclude, server) || avoidsEjected && server.getsOnlyProbes(now) {
 				continue
 			}
-			if cost, ok := server.expectedCost(now); ok && (best == nil || cost < bestCost) {
+			cost, ok := server.expectedCost(now)
+			switch {
+			case !ok:
+			case server.lacksToken():
+				if !server.isDeniedToken(now) && (limited == nil || cost < limitedCost) {
+					limited, limitedCost = server, cost
+				}
+			case best == nil || cost < bestCost:
 				best, bestCost = server, cost
 			}
 		}
+		if limited != nil && (best == nil || limitedCost < bestCost) {
+			limited.wantToken()
+		}
 		if best == nil {
 			return s.acquireReserve(exclude, now)
 		}
@@ -122,7 +135,7 @@
 				best.takeProbe(anyProbeDelay, now)
 				return best
 			}
-			best.inFlight.Add(-1)
+			best.returnSlot()
 		}
 	}
 	return nil
@@ -140,6 +153,12 @@
 	return s.Acquire(unconnected, now)
 }
 
+// Cancel returns the slot of a call that was not sent and wakes the first waiter.
+func (s *Service) Cancel(server *Server) {
+	server.returnToken()
+	s.Release(server)
+}
+
 // Release returns the slot of a call and wakes the first waiter.
 func (s *Service) Release(server *Server) {
 	server.inFlight.Add(-1)
@@ -186,8 +205,9 @@
 		}
 		server.mu.Lock()
 		probe := min(defaultRetryDelay, max(minProbeBackoff, server.blockedUntil.Sub(now), server.probeAt.Sub(now)))
-		delay = min(delay, max(probe, server.pausedUntil.Sub(now)))
+		pause := server.pausedUntil.Sub(now)
 		server.mu.Unlock()
+		delay = min(delay, max(probe, pause, server.tokenDelay(now)))
 	}
 	if delay == math.MaxInt64 {
 		return defaultRetryDelay
--- a/lentilward/balance/version.go
+++ b/lentilward/balance/version.go
@@ -171,7 +171,7 @@
 		return server
 	}
 	if server != nil {
-		server.inFlight.Add(-1)
+		server.returnSlot()
 	}
 	return nil
 }
@@ -184,7 +184,7 @@
 	}
 	server := view.reserve.Acquire(exclude, now)
 	if server != nil && s.versions.Load() != view {
-		s.Release(server)
+		s.Cancel(server)
 		return nil
 	}
 	return server
--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -127,6 +127,7 @@
 			return dial(ctx, "tcp", address.String())
 		}
 		server := balance.NewServer(b, pool, false)
+		server.SetTokens(g.serverLimits.local)
 		return server
 	}
 	p.prepare(number, g)
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -67,8 +67,10 @@
 	// fence refuses requests with keys while nothing proves that these are still valid.
 	fence      *proof.Fence
 	allowances *allowances
-	holders    *holders
-	paces      *pace.Set
+	// serverLimits keeps the calls to backend servers within the limits that these name.
+	serverLimits *lending
+	holders      *holders
+	paces        *pace.Set
 	// Paced reports whether servers are paced where the settings leave that open: where
 	// the instances outnumber the connections of servers.
 	Paced func() bool
@@ -94,6 +96,7 @@
 	g.connectStore(store)
 	g.connectPeers()
 	g.connectPaces()
+	g.connectServerLimits()
 	g.connectDirectory()
 	g.connectCallers()
 	g.connectRollouts(store)
@@ -251,6 +254,7 @@
 		}
 		server := balance.NewServer(b, pool, remote)
 		server.SetPaces(g.paces)
+		server.SetTokens(g.serverLimits.local)
 		return server
 	}
 	g.mirror.OnChange = func(records []mirror.Record) {
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -57,6 +57,7 @@
 	go g.keepRegistered(registered)
 	go g.poisonWriter.Run(processCtx)
 	go g.allowances.run(processCtx)
+	go g.serverLimits.run(processCtx)
 	go g.runPaces(processCtx)
 	go g.transferState(processCtx)
 	go g.awaitReady(processCtx)
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -60,12 +60,17 @@
 	// that this one considers the homes of tenants.
 	LendQuota  func(a quota.Ask, final bool) QuotaReply
 	QuotaHomes func(tenants []string) []netip.AddrPort
+	// LendServerLimit and ServerLimitHomes are the same for the limits that backend servers
+	// name. The servers with one key have the same home.
+	LendServerLimit  func(a quota.Ask, final bool) QuotaReply
+	ServerLimitHomes func(keys []string) []netip.AddrPort
 	// MergePace adds up a peer's reports about paced servers.
 	MergePace func([]pace.Report) []pace.State
 }
 
 // NewServer returns a server. Its function fields must be set before it serves;
-// Records, Proof, Gather, LendQuota, QuotaHomes and MergePace have defaults that return nothing.
+// Records, Proof, Gather, MergePace and the functions about limits have defaults that return
+// nothing.
 func NewServer(board *blackboard.Board, permits *Permits, traffic *Traffic, log *slog.Logger) *Server {
 	return &Server{
 		board: board, permits: permits, traffic: traffic, log: log,
@@ -75,7 +80,10 @@
 
 		LendQuota:  func(quota.Ask, bool) QuotaReply { return QuotaReply{} },
 		QuotaHomes: func([]string) []netip.AddrPort { return nil },
-		MergePace:  func([]pace.Report) []pace.State { return nil },
+
+		LendServerLimit:  func(quota.Ask, bool) QuotaReply { return QuotaReply{} },
+		ServerLimitHomes: func([]string) []netip.AddrPort { return nil },
+		MergePace:        func([]pace.Report) []pace.State { return nil },
 	}
 }
 
@@ -203,7 +211,7 @@
 		})
 	case kindRolloutReport, kindRolloutStop:
 		return s.dispatchRollout(f)
-	case kindQuota, kindHomes:
+	case kindQuota, kindHomes, kindServerLimits, kindServerLimitHomes:
 		return s.dispatchQuota(f)
 	case kindPace:
 		return handleBody(f, func(b paceBody) (any, error) { return paceReply{States: s.MergePace(b.Reports)}, nil })
--- a/lentilward/quota/local.go
+++ b/lentilward/quota/local.go
@@ -73,10 +73,16 @@
 	demand  average
 	// requests, returned and spent are what the next Ask reports.
 	requests, returned, spent int
-	fallback                  Bucket
-	use                       float64
-	spentAt, useAt            time.Time
-	count                     Count
+	// wanted is the number of tokens that TryTake did not find since the last Ask. starved is
+	// set if some were not asked for, since the home has none or does not reply. wake is
+	// called when that may have changed; nil if nobody has wanted any.
+	wanted         int
+	starved        bool
+	wake           func(tokens int)
+	fallback       Bucket
+	use            float64
+	spentAt, useAt time.Time
+	count          Count
 }
 
 // NewLocal returns a Local. Its Ask must be set before use.
@@ -240,10 +246,13 @@
 // finishAsk applies the reply to an Ask. What was returned is not repeated after an error,
 // since the home may have counted it.
 func (l *Local) finishAsk(tenant string, t *borrower, a Ask, askedAt time.Time, g Grant, err error) {
+	notify := func() {}
+	defer func() { notify() }()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	t.asking = false
+	defer func() { notify = l.notify(tenant, t, g.Granted, now) }()
 	close(t.changed)
 	t.changed = make(chan struct{})
 	if lost := err != nil; lost != t.lost {
@@ -329,6 +338,10 @@
 	defer l.mu.Unlock()
 	for name, t := range l.tenants {
 		t.expireLeases(now)
+		if t.starved && !now.Before(t.deniedUntil) {
+			t.starved = false
+			go t.wake(allWaiting)
+		}
 		if t.returned > 0 && !t.asking && !t.isUnreachable(now) {
 			l.startAsk(name, t, 0, now)
 		}
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -52,7 +52,11 @@
 		c.server.RemoveOverdueCall()
 	}
 	c.recordResult(reply, err)
-	c.run.parts[c.partIndex].service.Release(c.server)
+	if service := c.run.parts[c.partIndex].service; c.sentAt.Load() != nil {
+		service.Release(c.server)
+	} else {
+		service.Cancel(c.server)
+	}
 	c.run.results <- callResult{call: c, reply: reply, err: err}
 }
 
--- a/lentilward/scatter/launch.go
+++ b/lentilward/scatter/launch.go
@@ -21,7 +21,7 @@
 	}
 	s := p.service.Acquire(p.tried, now)
 	if s != nil && hedge && s.HasOverdueCall() {
-		p.service.Release(s)
+		p.service.Cancel(s)
 		return nil
 	}
 	if s == nil && !hedge && len(p.tried) > 0 {
--- a/lentilward/scatter/restrict.go
+++ b/lentilward/scatter/restrict.go
@@ -36,7 +36,7 @@
 	}
 	s := p.service.AcquireWithin(beyond, p.tried, now)
 	if s != nil && hedge && s.HasOverdueCall() {
-		p.service.Release(s)
+		p.service.Cancel(s)
 		return nil
 	}
 	if s == nil && !hedge && len(p.tried) > 0 {
