Refuse at once what the limits of servers leave no room for

Callers waited up to their deadline (985 ms of 1 s) for a server that had got as many requests as it takes, and were refused then: among those that wait, the ones that can still meet their target go first, so with a steady load some never come.

A request is refused as not run when it arrives if too few of its services have a token within half of its target latency, by the requests that wait before it and the tokens that this instance gets, and at its target if nothing could be sent. Retry-After is the time until the queue is served. The holder of a search decides for the search.

--- a/lentilward/balance/limited.go
+++ b/lentilward/balance/limited.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"sort"
 	"sync"
 	"time"
 
@@ -118,6 +119,38 @@
 	return max(0, s.tokens.TokenAt(s.ID).Sub(now))
 }
 
+// TokenDelay returns how long a request of a priority is expected to wait for a token,
+// because all servers that could be called name limits that are used up.
+func (s *Service) TokenDelay(priority int, now time.Time) time.Duration {
+	if s.versions.Load() != nil {
+		return 0
+	}
+	perSecond, denied := 0.0, true
+	for _, server := range s.Servers() {
+		if server.IsOutOfService() || server.checkBlocked(now) {
+			continue
+		}
+		limit := server.limit.Load()
+		if limit == nil || server.tokens == nil || server.tokens.HasToken(server.ID, *limit) {
+			return 0
+		}
+		perSecond += server.tokens.Rate(server.ID, *limit)
+		denied = denied && server.isDeniedToken(now)
+	}
+	before := s.countBefore(priority)
+	if perSecond == 0 || before == 0 && !denied {
+		return 0
+	}
+	return time.Duration(float64(before+1) / perSecond * float64(time.Second))
+}
+
+// countBefore returns the number of waiters that a request of a priority does not precede.
+func (s *Service) countBefore(priority int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return sort.Search(len(s.waiters), func(i int) bool { return s.waiters[i].Priority > priority })
+}
+
 // returnToken gives the token of a call back that was not sent.
 func (s *Server) returnToken() {
 	if s.limit.Load() != nil && s.tokens != nil {
--- a/lentilward/gateway_limits_test.go
+++ b/lentilward/gateway_limits_test.go
@@ -83,8 +83,8 @@
 }
 
 // load sends requests to instances at a steady pace for a time, and waits for the answers.
-// It returns how many were answered with each status, and the longest time that a refusal
-// took.
+// It returns how many were answered with each status, and the longest time that a refusal as
+// not run took.
 func load(fleet func() []*Gateway, pause, d time.Duration) (statuses map[int]int, slowestRefusal time.Duration) {
 	var mu sync.Mutex
 	var pending sync.WaitGroup
@@ -102,7 +102,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			statuses[w.Code]++
-			if w.Code != http.StatusOK {
+			if w.Code == http.StatusServiceUnavailable {
 				slowestRefusal = max(slowestRefusal, time.Since(at))
 			}
 		})
@@ -134,7 +134,7 @@
 						f.start(i)
 					}
 				}()
-				statuses, _ := load(f.serving, 5*time.Millisecond, 50*time.Second)
+				statuses, slowestRefusal := load(f.serving, 5*time.Millisecond, 50*time.Second)
 				bound := int(limitFactor*perSecond*limitWindow.Seconds()) + limitSlack
 				most, served := server.largestWindow(), server.since(server.namedAt.Add(limitSettleTime))
 				t.Logf("at most %d requests in %v, %d in all; answers %v", most, limitWindow, served, statuses)
@@ -144,6 +144,9 @@
 				if least := int(0.8 * perSecond * 46); served < least {
 					t.Errorf("%d requests arrived, want at least %d: the limit is not used", served, least)
 				}
+				if slowestRefusal > 300*time.Millisecond {
+					t.Errorf("a request was refused after %v", slowestRefusal)
+				}
 				server.name(0, false)
 				load(f.serving, 20*time.Millisecond, 3*time.Second)
 				if statuses, _ := load(f.serving, 10*time.Millisecond, 3*time.Second); statuses[http.StatusOK] < 290 {
--- a/lentilward/quota/local.go
+++ b/lentilward/quota/local.go
@@ -70,7 +70,8 @@
 	waiting                                int
 	// changed is closed when an Ask has ended.
 	changed chan struct{}
-	demand  average
+	// demand is the rate of requests, granted that of the tokens that the home has lent.
+	demand, granted average
 	// requests, returned and spent are what the next Ask reports.
 	requests, returned, spent int
 	// wanted is the number of tokens that TryTake did not find since the last Ask. starved is
@@ -162,7 +163,7 @@
 func (l *Local) ensureTenant(name string, limit Limit, now time.Time) *borrower {
 	t := l.tenants[name]
 	if t == nil {
-		t = &borrower{limit: limit, changed: make(chan struct{}), demand: average{updatedAt: now}}
+		t = &borrower{limit: limit, changed: make(chan struct{}), demand: average{updatedAt: now}, granted: average{updatedAt: now}}
 		// A process that ran here before may have used the start.
 		rate, size := l.share(t)
 		t.fallback = NewBucket(rate, size, rate*now.Sub(l.startedAt).Seconds(), now)
@@ -267,6 +268,7 @@
 	t.unreachableUntil = time.Time{}
 	t.use, t.useAt = g.Use, now
 	if g.Granted > 0 {
+		t.granted.add(float64(g.Granted), now)
 		t.leases = append(t.leases, lease{tokens: g.Granted, end: askedAt.Add(g.Term)})
 		return
 	}
--- a/lentilward/quota/take.go
+++ b/lentilward/quota/take.go
@@ -69,6 +69,20 @@
 	return time.Time{}
 }
 
+// Rate returns the number of tokens of a subject that this instance gets a second, at least
+// its even share of the limit.
+func (l *Local) Rate(subject string, limit Limit) float64 {
+	share := limit.Rate / float64(max(1, l.Instances()))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.tenants[subject]
+	if t == nil {
+		return share
+	}
+	t.granted.advance(time.Now())
+	return max(share, t.granted.perSecond)
+}
+
 // askWanted asks for the tokens that are wanted. The caller holds mu.
 func (l *Local) askWanted(subject string, t *borrower, now time.Time) {
 	need := t.wanted
--- a/lentilward/scatter/hold.go
+++ b/lentilward/scatter/hold.go
@@ -38,7 +38,11 @@
 	r.minHedgeDelay = g.HedgeAfter
 	r.slackShare = e.HolderShare
 	r.restrict(terms.Home)
-	if refusal := r.checkLimit(begin); refusal != nil {
+	refusal := r.checkServerLimits(begin)
+	if refusal == nil {
+		refusal = r.checkLimit(begin)
+	}
+	if refusal != nil {
 		emit(Partial{Last: true, Refused: true, RetryAfter: refusal.RetryAfter})
 		return
 	}
--- a/lentilward/scatter/load.go
+++ b/lentilward/scatter/load.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -26,6 +27,55 @@
 	}
 }
 
+const (
+	// tokenWaitDivisor is the inverse of the part of the target latency for which a request
+	// may wait until the limits that servers name permit its calls, and untargetedWaitDivisor
+	// of its time left where it has no target. Longer queues would only make all requests
+	// late: the limits do not rise with the load.
+	tokenWaitDivisor      = 2
+	untargetedWaitDivisor = 4
+)
+
+// checkServerLimits refuses a request at once if the servers name limits that are used up
+// for so long that it would be late.
+func (r *run) checkServerLimits(now time.Time) *domain.Refusal {
+	allowed := r.deadline.Sub(now) / untargetedWaitDivisor
+	if target := r.task.Route.TargetLatency; target > 0 {
+		allowed = min(allowed, target/tokenWaitDivisor)
+	}
+	delays := make([]time.Duration, len(r.task.Services))
+	for i, s := range r.task.Services {
+		delays[i] = s.TokenDelay(r.task.priority(), now)
+	}
+	slices.Sort(delays)
+	delay := delays[min(r.minParts(), len(delays))-1]
+	if delay <= allowed {
+		return nil
+	}
+	r.reported = true
+	return &domain.Refusal{
+		Reason: domain.Overloaded, Outcome: domain.NotRun, RetryAfter: min(maxLimitRetry, delay+rand.N(delay)),
+		Message: "backend servers have got as many requests as they take",
+	}
+}
+
+// refuseStarved refuses a request, once its target latency has passed, of which nothing was
+// sent because servers name limits: later requests that can meet theirs go first.
+func (r *run) refuseStarved(now time.Time) *domain.Refusal {
+	if r.starvedAt.IsZero() || now.Before(r.starvedAt) {
+		return nil
+	}
+	r.starvedAt = time.Time{}
+	if r.stats.Calls > r.notRunCalls || r.stats.Delegated > 0 {
+		return nil
+	}
+	return r.checkServerLimits(now)
+}
+
+// maxLimitRetry bounds the Retry-After of requests that servers do not take: other
+// instances may stop asking for their tokens.
+const maxLimitRetry = time.Second
+
 // reportsLoad reports whether the request is a search whose services have a limit.
 func (r *run) reportsLoad() bool { return r.task.Admission != nil && len(r.task.Route.Shards) > 0 }
 
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -52,6 +52,9 @@
 	notRunCalls int
 	// cappedHedges counts the hedges that maxHedgedShare bounds.
 	cappedHedges int
+	// starvedAt is when to refuse the request if nothing was sent because servers name limits;
+	// zero if that was checked.
+	starvedAt time.Time
 	// dialContext bounds the connection attempts of the request; cancelDials ends
 	// them.
 	dialContext  context.Context
@@ -127,10 +130,16 @@
 	}
 	// The holders decide whether there is room for the searches that they run.
 	if len(r.handed) == 0 {
+		if refusal := r.checkServerLimits(now); refusal != nil {
+			return nil, refusal
+		}
 		if refusal := r.checkLimit(now); refusal != nil {
 			return nil, refusal
 		}
 	}
+	if target := r.task.Route.TargetLatency; target > 0 {
+		r.starvedAt = r.task.Begin.Add(target)
+	}
 	if r.handover == nil {
 		r.delegate(now)
 	}
@@ -149,6 +158,9 @@
 		if done {
 			return answer, refusal
 		}
+		if refusal := r.refuseStarved(now); refusal != nil {
+			return nil, refusal
+		}
 		wakeAt := r.nextWakeup()
 		r.timer.Reset(wakeAt.Sub(now))
 		select {
@@ -204,6 +216,9 @@
 	if reportAt := r.nextReport(); !reportAt.IsZero() && reportAt.Before(at) {
 		at = reportAt
 	}
+	if !r.starvedAt.IsZero() && r.starvedAt.Before(at) {
+		at = r.starvedAt
+	}
 	for i := range r.parts {
 		p := &r.parts[i]
 		if !p.closed && !p.nextCallAt.IsZero() && p.nextCallAt.Before(at) {
