Take a reply without a valid status for a failure

Callers: where a server replied with status 000 (or 001 to 099), the caller's connection ended without any answer, since net/http refuses to write such a status and the request ended in a panic. Direct requests were affected, safe and unsafe ones; parts of searches and gathers count only replies of 2xx.

--- a/lentilward/conn/call.go
+++ b/lentilward/conn/call.go
@@ -52,7 +52,7 @@
 // reusable says whether the connection can be reused, and must be passed to
 // ReleaseOrDiscard. The memory of the reply goes to hold, unless that is nil. Call fails with
 // ErrNotSent, ErrReplyTimeout, ErrIncompleteReply, ErrConnectionReset, ErrReplyTooLarge,
-// ErrReplyMismatch or memory.ErrExhausted.
+// ErrReplyMismatch, domain.ErrInvalidStatus or memory.ErrExhausted.
 func (c *Conn) Call(codec Codec, hold *memory.Hold, r *domain.Request, serverID string, deadline time.Time) (_ *domain.Reply, reusable bool, _ error) {
 	c.writeBuffer = codec.AppendCall(c.writeBuffer[:0], r, serverID, time.Until(deadline))
 	n, err := c.Write(c.writeBuffer)
@@ -73,7 +73,7 @@
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT):
 			return nil, false, ErrReplyTimeout
-		case errors.Is(err, ErrReplyTooLarge), errors.Is(err, memory.ErrExhausted):
+		case errors.Is(err, ErrReplyTooLarge), errors.Is(err, memory.ErrExhausted), errors.Is(err, domain.ErrInvalidStatus):
 			return nil, false, err
 		default:
 			return nil, false, c.describeLoss(err)
--- a/schema/domain/domain.go
+++ b/schema/domain/domain.go
@@ -288,6 +288,9 @@
 	// ErrConnectionLost means that the connection to the server was lost, or could not be
 	// made, during the call.
 	ErrConnectionLost = errors.New("connection to backend server lost")
+	// ErrInvalidStatus means that the reply has a status that no final reply can have. The
+	// request may have run.
+	ErrInvalidStatus = errors.New("reply has no valid status")
 	// ErrRefused means that the server refused the request without running it.
 	ErrRefused = errors.New("refused by the backend server")
 )
