Use the whole limit of a server soon after an instance is lost

After the loss of one of four instances the others used three quarters of a server's limit for ten minutes: a home lends only the part of the instances that are alive, since those that are lost may be cut off and serve, and an allowance leaves no room for that. The limit of a server leaves half, so that an instance counts for ten seconds after its loss; the seeds in the settings and the time of a member's death are treated alike.

--- a/lentilward/gateway_lending.go
+++ b/lentilward/gateway_lending.go
@@ -17,10 +17,6 @@
 )
 
 const (
-	// lostMemberPeriod is how long an instance that was lost counts among those that share
-	// a limit. A home lends only the part of those that are alive, since the lost ones may
-	// be cut off and serve. Members forget each other after a minute.
-	lostMemberPeriod = 10 * time.Minute
 	// confirmTimeout bounds the question of a starting instance whether it is the home.
 	confirmTimeout = 100 * time.Millisecond
 	// maxClockGap is the most time between the readings of two clocks that are compared.
@@ -40,6 +36,10 @@
 	self    netip.AddrPort
 	// subjects names the kind of subjects in logs.
 	subjects string
+	// lostPeriod is how long an instance that was lost counts among those that share a limit.
+	// A home lends only the part of those that are alive, since the lost ones may be cut off
+	// and serve.
+	lostPeriod time.Duration
 	// ask sends a question to a peer, and askHomes asks a peer which instances it considers
 	// the homes of keys.
 	ask      func(ctx context.Context, to netip.AddrPort, a quota.Ask, final bool) (peer.QuotaReply, error)
@@ -58,10 +58,10 @@
 }
 
 // newLending returns a lending whose function fields ask, askHomes and isUsed must be set.
-func newLending(g *Gateway, s quota.Settings, subjects string) *lending {
+func newLending(g *Gateway, s quota.Settings, subjects string, lostPeriod time.Duration) *lending {
 	l := &lending{
 		gateway: g, home: quota.NewHome(s), local: quota.NewLocal(s), self: g.options.Load().Listen.Peers,
-		subjects: subjects, onLent: func(string, int) {}, lastSeen: make(map[netip.AddrPort]time.Time),
+		subjects: subjects, lostPeriod: lostPeriod, onLent: func(string, int) {}, lastSeen: make(map[netip.AddrPort]time.Time),
 	}
 	l.home.Suspended = suspendedTime
 	l.home.OnFrozen = func(lenders int) {
@@ -224,11 +224,14 @@
 	return lo.CountBy(members.List, func(m blackboard.Member) bool { return m.Name == members.Self || m.State == blackboard.Alive })
 }
 
-// known returns the number of instances that may serve: those seen in the last
-// lostMemberPeriod, this one included, or the seeds if these are more.
+// known returns the number of instances that may serve: those seen in the last lostPeriod,
+// this one included, or the seeds if these are more and may not have been seen yet.
 func (l *lending) known() int {
-	// The settings and the store often list the same instances.
-	seeds, alive := len(lo.Uniq(l.gateway.seedAddresses()))+1, l.alive()
+	seeds, alive := 0, l.alive()
+	if time.Since(l.gateway.fleet.started) < l.lostPeriod {
+		// The settings and the store often list the same instances.
+		seeds = len(lo.Uniq(l.gateway.seedAddresses())) + 1
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return max(1, len(l.lastSeen), seeds, alive)
@@ -277,14 +280,14 @@
 		case blackboard.Dead:
 			// Counts from when it was last alive.
 			if _, seen := l.lastSeen[m.Address]; !seen {
-				l.lastSeen[m.Address] = now
+				l.lastSeen[m.Address] = m.Since
 			}
 		default:
 			l.lastSeen[m.Address] = now
 		}
 	}
 	for address, seenAt := range l.lastSeen {
-		if now.Sub(seenAt) >= lostMemberPeriod {
+		if now.Sub(seenAt) >= l.lostPeriod {
 			delete(l.lastSeen, address)
 		}
 	}
--- a/lentilward/gateway_limits.go
+++ b/lentilward/gateway_limits.go
@@ -13,6 +13,11 @@
 // window a server gets at most half more than its limit allows, and a few requests.
 var serverLimitSettings = quota.Settings{Window: 4 * time.Second, Overage: 0.5, Slack: 5}
 
+// lostServerPeriod is how long a lost instance counts among those that share the limit of a
+// server. One that is cut off for longer uses its even share beside them, for which the
+// overage leaves room.
+const lostServerPeriod = 10 * time.Second
+
 // serverLimitGroups is the number of groups of servers; the servers of a group have the same
 // home, so that the questions of one search go to few instances.
 const serverLimitGroups = 8
@@ -20,7 +25,7 @@
 // connectServerLimits connects the components that keep the calls to each backend server
 // within the limit that it names for all instances together.
 func (g *Gateway) connectServerLimits() {
-	l := newLending(g, serverLimitSettings, "backend servers")
+	l := newLending(g, serverLimitSettings, "backend servers", lostServerPeriod)
 	l.ask, l.askHomes = quota.NewBatcher(g.links.AskServerLimits).Ask, g.links.ServerLimitHomes
 	l.homes.Key, l.home.Key = serverLimitKey, serverLimitKey
 	l.isUsed = func() bool { return g.directory.ServersNamingLimit() > 0 }
--- a/lentilward/gateway_limits_test.go
+++ b/lentilward/gateway_limits_test.go
@@ -156,3 +156,24 @@
 		})
 	}
 }
+
+// Guards against a limit of which the part of a lost instance is used by nobody.
+func TestLimitIsUsedWhileAnInstanceIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newMemoryPlatform(t)
+		server := &limitedServer{}
+		p.respond = server.respond
+		p.publishRoutes(t, 1, "/a/")
+		f := startChangingFleet(t, p, 4)
+		const perSecond = 40
+		server.name(perSecond, true)
+		load(f.serving, 5*time.Millisecond, 5*time.Second)
+		f.kill(1)
+		load(f.serving, 5*time.Millisecond, 20*time.Second)
+		begin := time.Now()
+		load(f.serving, 5*time.Millisecond, 20*time.Second)
+		if served, least := server.since(begin), int(0.95*perSecond*20); served < least {
+			t.Errorf("%d requests arrived in 20 s, want at least %d", served, least)
+		}
+	})
+}
--- a/lentilward/gateway_quota.go
+++ b/lentilward/gateway_quota.go
@@ -12,6 +12,10 @@
 	"lentilward.org/schema/domain"
 )
 
+// lostTenantPeriod is how long a lost instance counts among those that share an allowance.
+// Members forget each other after a minute.
+const lostTenantPeriod = 10 * time.Minute
+
 // maxRefundAge is the age of a request up to which its token is given back if nothing was
 // sent.
 const maxRefundAge = 500 * time.Millisecond
@@ -22,7 +26,7 @@
 
 // connectAllowances connects the components that keep the allowances of tenants.
 func (g *Gateway) connectAllowances() {
-	a := &allowances{newLending(g, g.options.Load().quotaSettings(), "tenants")}
+	a := &allowances{newLending(g, g.options.Load().quotaSettings(), "tenants", lostTenantPeriod)}
 	a.ask, a.askHomes = g.links.AskQuota, g.links.QuotaHomes
 	a.onLent = g.metrics.RecordTenantLent
 	a.isUsed = a.hasLimits
