--- a/lentilward/quota/model_test.go
+++ b/lentilward/quota/model_test.go
@@ -56,6 +56,11 @@
 	sent, allowed [modelTenants][]time.Duration
 	limits        [modelTenants]Limit
 	usual         [modelTenants]float64
+	settings      Settings
+	// takes is set if requests take tokens without waiting in Local.
+	takes bool
+	// bound is the most that may be sent within a limit in a window.
+	bound func(Limit) float64
 }
 
 var modelNames = func() (names []string) {
@@ -68,7 +73,8 @@
 var errModelLost = errors.New("unreachable")
 
 func newQuotaModel(instances int, seed uint64) *quotaModel {
-	m := &quotaModel{random: rand.New(rand.NewPCG(seed, 5)), begin: time.Now()}
+	m := &quotaModel{random: rand.New(rand.NewPCG(seed, 5)), begin: time.Now(), settings: Settings{Window: modelWindow, Overage: 0.1, Slack: 20}}
+	m.bound = func(l Limit) float64 { return (l.Rate*modelWindow.Seconds()+l.Burst)*1.1 + 20 }
 	harmonic := 0.0
 	for k := range modelTenants {
 		harmonic += 1 / float64(k+1)
@@ -86,9 +92,8 @@
 
 // start starts the process of an instance.
 func (m *quotaModel) start(i int) {
-	s := Settings{Window: modelWindow, Overage: 0.1, Slack: 20}
 	n := m.instances[i]
-	n.home, n.local, n.started, n.down, n.joined = NewHome(s), NewLocal(s), true, false, &atomic.Bool{}
+	n.home, n.local, n.started, n.down, n.joined = NewHome(m.settings), NewLocal(m.settings), true, false, &atomic.Bool{}
 	n.changedAt, n.startedAt = time.Now(), time.Now()
 	n.local.Instances = func() int {
 		m.mu.Lock()
@@ -287,6 +292,14 @@
 	}
 	limit, local := m.limits[tenant], m.instances[i].local
 	m.mu.Unlock()
+	if m.takes {
+		if m.take(local, modelName(tenant), limit) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.sent[tenant] = append(m.sent[tenant], time.Since(m.begin))
+		}
+		return
+	}
 	for range retries + 1 {
 		if _, ok := local.Allow(context.Background(), modelName(tenant), limit); ok {
 			m.mu.Lock()
@@ -364,11 +377,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for k := range modelTenants {
-		bound := (m.limits[k].Rate*modelWindow.Seconds()+m.limits[k].Burst)*1.1 + 20
+		bound := m.bound(m.limits[k])
 		slices.Sort(m.sent[k])
 		first := 0
 		for last, at := range m.sent[k] {
-			for at-m.sent[k][first] > modelWindow || m.sent[k][first] < from && first < last {
+			for at-m.sent[k][first] > m.settings.Window || m.sent[k][first] < from && first < last {
 				first++
 			}
 			if share := float64(last-first+1) / bound; at >= from && share > worst {
