Look for a token without counting the instances

Each choice of a server that names a limit counted the members and seeds several times, for a share that matters only while the home does not reply.

--- a/lentilward/balance/limited.go
+++ b/lentilward/balance/limited.go
@@ -80,8 +80,7 @@
 
 // lacksToken reports whether the server names a limit and no token is at hand for a call.
 func (s *Server) lacksToken() bool {
-	limit := s.limit.Load()
-	return limit != nil && s.tokens != nil && !s.tokens.HasToken(s.ID, *limit)
+	return s.limit.Load() != nil && s.tokens != nil && !s.tokens.HasToken(s.ID)
 }
 
 // takeToken takes a token for a call, and reports whether the server needs none or one was
@@ -131,7 +130,7 @@
 			continue
 		}
 		limit := server.limit.Load()
-		if limit == nil || server.tokens == nil || server.tokens.HasToken(server.ID, *limit) {
+		if limit == nil || server.tokens == nil || server.tokens.HasToken(server.ID) {
 			return 0
 		}
 		perSecond += server.tokens.Rate(server.ID, *limit)
--- a/lentilward/quota/take.go
+++ b/lentilward/quota/take.go
@@ -29,12 +29,15 @@
 	return true
 }
 
-// HasToken reports whether TryTake would take a token now.
-func (l *Local) HasToken(subject string, limit Limit) bool {
+// HasToken reports whether TryTake would take a token now. It costs little: each choice of a
+// server asks for several.
+func (l *Local) HasToken(subject string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	t := l.ensureTenant(subject, limit, now)
+	t, now := l.tenants[subject], time.Now()
+	if t == nil {
+		return false
+	}
 	t.expireLeases(now)
 	return len(t.leases) > 0 || t.isUnreachable(now) && t.fallback.Level(now) >= 1
 }
