--- a/lentilward/balance/limited.go
+++ b/lentilward/balance/limited.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -21,10 +22,9 @@
 type namedLimit struct {
 	mu        sync.Mutex
 	perSecond float64
-	// since is when the server first named a limit, and changedAt when it last named
-	// another one; zero while it names none.
-	since, changedAt time.Time
-	// reported has the limit and changedAt of the last report.
+	// since is when the server first named a limit; zero while it names none.
+	since time.Time
+	// reported is the limit of the last report, at reportedAt.
 	reported   float64
 	reportedAt time.Time
 	sent       SentCalls
@@ -46,20 +46,20 @@
 
 // RecordNamedLimit records whether a reply of the server named a limit, and which.
 func (s *Server) RecordNamedLimit(perSecond float64, named bool, now time.Time) {
+	if !named && s.limit.Load() == nil {
+		return
+	}
 	l := &s.named
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	defer s.applyNamedLimit()
-	if !named {
-		l.since, l.changedAt, l.perSecond = time.Time{}, time.Time{}, 0
-		return
-	}
-	if l.since.IsZero() {
+	l.perSecond = perSecond
+	switch {
+	case !named:
+		l.since = time.Time{}
+	case l.since.IsZero():
 		l.since = now
 	}
-	if l.perSecond != perSecond || l.changedAt.IsZero() {
-		l.perSecond, l.changedAt = perSecond, now
-	}
 }
 
 // applyNamedLimit makes the limit that was named last apply. The caller holds named.mu.
@@ -121,7 +121,7 @@
 // TokenDelay returns how long a request of a priority is expected to wait for a token,
 // because all servers that could be called name limits that are used up.
 func (s *Service) TokenDelay(priority int, now time.Time) time.Duration {
-	if s.versions.Load() != nil {
+	if s.versions.Load() != nil || !s.namesLimit() {
 		return 0
 	}
 	perSecond, denied := 0.0, true
@@ -143,6 +143,11 @@
 	return time.Duration(float64(before+1) / perSecond * float64(time.Second))
 }
 
+// namesLimit reports whether any server names a limit.
+func (s *Service) namesLimit() bool {
+	return slices.ContainsFunc(s.Servers(), func(server *Server) bool { return server.limit.Load() != nil })
+}
+
 // countBefore returns the number of waiters that a request of a priority does not precede.
 func (s *Service) countBefore(priority int) int {
 	s.mu.Lock()
@@ -158,18 +163,17 @@
 }
 
 // NamesLimit reports whether the latest reply of the server named a limit.
-func (s *Server) NamesLimit() bool {
-	s.named.mu.Lock()
-	defer s.named.mu.Unlock()
-	return !s.named.since.IsZero()
-}
+func (s *Server) NamesLimit() bool { return s.limit.Load() != nil }
 
-// recordSent counts a call that is sent to a server that names a limit.
-func (l *namedLimit) recordSent(hedge, retry bool) {
+// RecordSent counts a call that is sent to the server if it names a limit.
+func (s *Server) RecordSent(hedge, retry bool) {
+	if !s.NamesLimit() {
+		return
+	}
+	l := &s.named
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.since.IsZero():
 	case hedge:
 		l.sent.Hedges++
 	case retry:
@@ -179,9 +183,6 @@
 	}
 }
 
-// RecordSent counts a call that is sent to the server.
-func (s *Server) RecordSent(hedge, retry bool) { s.named.recordSent(hedge, retry) }
-
 // ReportLimit returns a report if the server has named another limit than at the last
 // report, names none any more, or names one and the last report is an interval ago.
 func (s *Server) ReportLimit(interval time.Duration, now time.Time) (r LimitReport, ok bool) {
--- a/lentilward/gateway_limits.go
+++ b/lentilward/gateway_limits.go
@@ -28,7 +28,7 @@
 	l := newLending(g, serverLimitSettings, "backend servers", lostServerPeriod)
 	l.ask, l.askHomes = quota.NewBatcher(g.links.AskServerLimits).Ask, g.links.ServerLimitHomes
 	l.homes.Key, l.home.Key = serverLimitKey, serverLimitKey
-	l.isUsed = func() bool { return g.directory.ServersNamingLimit() > 0 }
+	l.isUsed = func() bool { return g.directory.ServersNamingLimit() > 0 || l.home.IsUsed() }
 	g.serverLimits = l
 	g.peers.LendServerLimit, g.peers.ServerLimitHomes = l.lend, l.homesOf
 }
--- a/lentilward/quota/home.go
+++ b/lentilward/quota/home.go
@@ -259,6 +259,13 @@
 	return l.Rate*s.Window.Seconds()+l.Burst > s.homeStart()
 }
 
+// IsUsed reports whether this instance lends tokens of any subject.
+func (h *Home) IsUsed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.lenders) > 0
+}
+
 // SetSample records the part of the sampled instances that consider this one as the home
 // of the subjects with a key.
 func (h *Home) SetSample(key string, part float64, now time.Time) {
--- a/lentilward/scatter/load.go
+++ b/lentilward/scatter/load.go
@@ -43,15 +43,18 @@
 	if target := r.task.Route.TargetLatency; target > 0 {
 		allowed = min(allowed, target/tokenWaitDivisor)
 	}
-	delays := make([]time.Duration, len(r.task.Services))
-	for i, s := range r.task.Services {
-		delays[i] = s.TokenDelay(r.task.priority(), now)
+	var delays []time.Duration
+	for _, s := range r.task.Services {
+		if delay := s.TokenDelay(r.task.priority(), now); delay > allowed {
+			delays = append(delays, delay)
+		}
 	}
-	slices.Sort(delays)
-	delay := delays[min(r.minParts(), len(delays))-1]
-	if delay <= allowed {
+	lacking := r.minParts() - (len(r.task.Services) - len(delays))
+	if lacking <= 0 || len(delays) == 0 {
 		return nil
 	}
+	slices.Sort(delays)
+	delay := delays[min(lacking, len(delays))-1]
 	r.reported = true
 	return &domain.Refusal{
 		Reason: domain.Overloaded, Outcome: domain.NotRun, RetryAfter: min(maxLimitRetry, delay+rand.N(delay)),
