Let servers of the soak name limits and reply with odd statuses

Two modes of a troubled server: one names a limit of 5.5 requests a second, the other gives a third of its replies the status 000, 101, 199 or 600. A status below 200 or above 599 that reaches a caller is a finding, as is an answer that is lost.

--- a/lentilsoak/caller.go
+++ b/lentilsoak/caller.go
@@ -84,7 +84,7 @@
 	case r.StatusCode == http.StatusNotFound:
 		s.ledger.addFinding("request %s: status 404 although the route is configured", id)
 	default:
-		s.ledger.failed.Add(1)
+		s.recordFailure(id, r.StatusCode)
 	}
 }
 
@@ -106,13 +106,22 @@
 	case r.StatusCode == http.StatusNotFound:
 		s.ledger.addFinding("search %s: status 404 although the route is configured", id)
 	default:
-		s.ledger.failed.Add(1)
+		s.recordFailure(id, r.StatusCode)
 	}
 	if took := time.Since(begin); took > requestTimeout+time.Second && !i.wasDisruptedSince(begin) {
 		s.ledger.addFinding("search %s to %s took %v and ended at %s; the deadline was exceeded", id, i.name, took, time.Now().Format(time.TimeOnly+".000"))
 	}
 }
 
+// recordFailure counts a request that was answered as failed. A status that no answer can
+// have is a finding.
+func (s *soak) recordFailure(id string, status int) {
+	s.ledger.failed.Add(1)
+	if status < http.StatusOK || status > 599 {
+		s.ledger.addFinding("request %s: answered with status %03d", id, status)
+	}
+}
+
 // recordLostReply counts a request whose reply was lost as failed. It is a finding
 // unless the instance was killed or paused, or no connection was established.
 func (s *soak) recordLostReply(i *instance, id string, begin time.Time, err error) {
--- a/lentilsoak/server.go
+++ b/lentilsoak/server.go
@@ -25,13 +25,16 @@
 
 // Modes of a server: slow multiplies the service time, shedding refuses a share of
 // the requests as not executed, resetting closes the connections of a share, endless
-// sends bytes without end.
+// sends bytes without end, limiting names a low limit of requests a second, and oddStatus
+// answers a share of the requests with a status that no reply can have.
 const (
 	healthy int32 = iota
 	slow
 	shedding
 	resetting
 	endless
+	limiting
+	oddStatus
 	modeCount
 )
 
@@ -88,6 +91,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if mode == limiting {
+		w.Header().Set(standin.ServerLimitHeader, "5.5")
+	}
 	if r.Method == http.MethodPost {
 		s.ledger.recordRun(id)
 	}
@@ -106,10 +112,26 @@
 	if mode == resetting && rand.IntN(5) == 0 {
 		panic(http.ErrAbortHandler)
 	}
+	if mode == oddStatus && rand.IntN(3) == 0 {
+		s.sendOddStatus(w, id)
+		return
+	}
 	w.Header().Set(standin.ServerProofHeader, s.service+"."+id)
 	io.WriteString(w, records(s.service, id))
 }
 
+// sendOddStatus answers with a status that no reply can have and closes the connection.
+func (s *server) sendOddStatus(w http.ResponseWriter, id string) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	status := []string{"000", "101", "199", "600"}[rand.IntN(4)]
+	fmt.Fprintf(c, "HTTP/1.1 %s X\r\n%s: %s\r\n%s: %s.%s\r\nContent-Length: 0\r\n\r\n", status,
+		standin.RequestIDHeader, id, standin.ServerProofHeader, s.service, id)
+}
+
 // records returns the unsorted records that a service has for a request.
 func records(service, id string) string {
 	var b strings.Builder
--- a/lentilstand/platform/wire.go
+++ b/lentilstand/platform/wire.go
@@ -16,6 +16,7 @@
 	ServerProofHeader      = "Server-Stamp"
 	NotExecutedHeader      = "Not-Executed"
 	ServerLeavingHeader    = "Server-Leaving"
+	ServerLimitHeader      = "Server-Limit"
 	RetryAfterHeader       = "Retry-After"
 	PartProofsHeader       = "Part-Stamps"
 	MissingPartsHeader     = "Missing-Parts"
