--- a/lentilward/quota/allowance_test.go
+++ b/lentilward/quota/allowance_test.go
@@ -199,8 +199,10 @@
 	if n.frozen || n.down {
 		return
 	}
+	disturb := func(n *modelInstance) { n.disturbedUntil = time.Now().Add(d) }
 	switch random.IntN(4) {
 	case 0:
+		disturb(n)
 		n.frozen, n.woken = true, make(chan struct{})
 		time.AfterFunc(d, func() {
 			m.mu.Lock()
@@ -209,6 +211,7 @@
 			close(n.woken)
 		})
 	case 1:
+		disturb(n)
 		n.down = true
 		time.AfterFunc(d, func() {
 			m.mu.Lock()
@@ -218,6 +221,7 @@
 	case 2:
 		part := 2 + random.IntN(3)
 		for k, other := range m.instances {
+			disturb(other)
 			other.side = k % part
 		}
 		time.AfterFunc(d, func() {
