Name what an instance borrows after subjects, not tenants

Names and order of functions only: borrowers in place of tenants in quota.Local, DeniedUntil and deniedFor for what a home has said, and the package's comment names both kinds of limits.

--- a/lentilward/balance/limited.go
+++ b/lentilward/balance/limited.go
@@ -90,6 +90,13 @@
 	return limit == nil || s.tokens == nil || s.tokens.TryTake(s.ID, *limit)
 }
 
+// returnToken gives the token of a call back that was not sent.
+func (s *Server) returnToken() {
+	if s.limit.Load() != nil && s.tokens != nil {
+		s.tokens.Refund(s.ID)
+	}
+}
+
 // wantToken asks for a token in the background. Those that wait for the service are woken
 // once it is known whether there is one.
 func (s *Server) wantToken() {
@@ -106,16 +113,16 @@
 	s.tokens.Want(s.ID, *limit, wake)
 }
 
-// isDeniedToken reports whether it is known that there is no token for a while.
-func (s *Server) isDeniedToken(now time.Time) bool { return s.tokenDelay(now) > 0 }
+// isDenied reports whether it is known that there is no token of the server for a while.
+func (s *Server) isDenied(now time.Time) bool { return s.deniedFor(now) > 0 }
 
-// tokenDelay returns the time until there may be a token for a call; 0 if the server names
-// no limit or that is not known.
-func (s *Server) tokenDelay(now time.Time) time.Duration {
+// deniedFor returns for how long the home has said that it has no token for the server; 0 if
+// it has not, or the server names no limit.
+func (s *Server) deniedFor(now time.Time) time.Duration {
 	if s.limit.Load() == nil || s.tokens == nil {
 		return 0
 	}
-	return max(0, s.tokens.TokenAt(s.ID).Sub(now))
+	return max(0, s.tokens.DeniedUntil(s.ID).Sub(now))
 }
 
 // TokenDelay returns how long a request of a priority is expected to wait for a token,
@@ -134,7 +141,7 @@
 			return 0
 		}
 		perSecond += server.tokens.Rate(server.ID, *limit)
-		denied = denied && server.isDeniedToken(now)
+		denied = denied && server.isDenied(now)
 	}
 	before := s.countBefore(priority)
 	if perSecond == 0 || before == 0 && !denied {
@@ -155,13 +162,6 @@
 	return sort.Search(len(s.waiters), func(i int) bool { return s.waiters[i].Priority > priority })
 }
 
-// returnToken gives the token of a call back that was not sent.
-func (s *Server) returnToken() {
-	if s.limit.Load() != nil && s.tokens != nil {
-		s.tokens.Refund(s.ID)
-	}
-}
-
 // NamesLimit reports whether the latest reply of the server named a limit.
 func (s *Server) NamesLimit() bool { return s.limit.Load() != nil }
 
--- a/lentilward/balance/service.go
+++ b/lentilward/balance/service.go
@@ -117,7 +117,7 @@
 			switch {
 			case !ok:
 			case server.lacksToken():
-				if !server.isDeniedToken(now) && (limited == nil || cost < limitedCost) {
+				if !server.isDenied(now) && (limited == nil || cost < limitedCost) {
 					limited, limitedCost = server, cost
 				}
 			case best == nil || cost < bestCost:
@@ -207,7 +207,7 @@
 		probe := min(defaultRetryDelay, max(minProbeBackoff, server.blockedUntil.Sub(now), server.probeAt.Sub(now)))
 		pause := server.pausedUntil.Sub(now)
 		server.mu.Unlock()
-		delay = min(delay, max(probe, pause, server.tokenDelay(now)))
+		delay = min(delay, max(probe, pause, server.deniedFor(now)))
 	}
 	if delay == math.MaxInt64 {
 		return defaultRetryDelay
--- a/lentilward/quota/borrower.go
+++ b/lentilward/quota/borrower.go
@@ -8,7 +8,7 @@
 	end    time.Time
 }
 
-// borrower is the state of one tenant at an instance.
+// borrower is the state of one subject, a tenant or a backend server, at an instance.
 type borrower struct {
 	limit  Limit
 	leases []lease
--- a/lentilward/quota/bucket.go
+++ b/lentilward/quota/bucket.go
@@ -1,5 +1,6 @@
-// Package quota keeps the requests of each tenant within its allowance over all
-// instances. One instance, the home of the tenant, keeps a token bucket and lends tokens
+// Package quota keeps the use of each subject within its limit over all instances: the
+// requests of a tenant within its allowance, the calls of a backend server within the limit
+// that it names. One instance, the home of the subject, keeps a token bucket and lends tokens
 // to the others for a short time.
 package quota
 
@@ -8,7 +9,7 @@
 	"time"
 )
 
-// Limit is the allowance of one tenant.
+// Limit is the allowance of a tenant, or the limit that a backend server names.
 type Limit struct {
 	// Rate is the number of requests a second, and Burst the number that may be sent at
 	// once. A Rate of 0 sets no bound.
--- a/lentilward/quota/local.go
+++ b/lentilward/quota/local.go
@@ -27,8 +27,9 @@
 	maxFallbackDelay = time.Second
 )
 
-// Local decides for each request that arrives at this instance whether its tenant may
-// send it.
+// Local decides at this instance whether requests are within the limits of their subjects:
+// Allow for the request of a tenant, which may wait for a reply of the home, TryTake and Want
+// for a call of a backend server, which may go to another server instead.
 type Local struct {
 	// Ask asks the home of a tenant.
 	Ask func(ctx context.Context, a Ask) (Grant, error)
@@ -43,7 +44,7 @@
 	mu        sync.Mutex
 	settings  Settings
 	startedAt time.Time
-	tenants   map[string]*borrower
+	borrowers map[string]*borrower
 }
 
 // Count counts the requests of one tenant at this instance.
@@ -55,7 +56,7 @@
 func NewLocal(s Settings) *Local {
 	return &Local{
 		Instances: func() int { return 1 }, Random: rand.Float64, OnFallback: func(string, bool, error) {},
-		settings: s, startedAt: time.Now(), tenants: make(map[string]*borrower),
+		settings: s, startedAt: time.Now(), borrowers: make(map[string]*borrower),
 	}
 }
 
@@ -75,7 +76,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	t := l.ensureTenant(tenant, limit, now)
+	t := l.ensureBorrower(tenant, limit, now)
 	t.count.Asked++
 	t.requests++
 	t.requestedAt = now
@@ -125,14 +126,14 @@
 	}
 }
 
-func (l *Local) ensureTenant(name string, limit Limit, now time.Time) *borrower {
-	t := l.tenants[name]
+func (l *Local) ensureBorrower(name string, limit Limit, now time.Time) *borrower {
+	t := l.borrowers[name]
 	if t == nil {
 		t = &borrower{limit: limit, changed: make(chan struct{}), demand: average{updatedAt: now}, granted: average{updatedAt: now}}
 		// A process that ran here before may have used the start.
 		rate, size := l.share(t)
 		t.fallback = NewBucket(rate, size, rate*now.Sub(l.startedAt).Seconds(), now)
-		l.tenants[name] = t
+		l.borrowers[name] = t
 	}
 	t.limit = limit
 	rate, size := l.share(t)
@@ -243,7 +244,7 @@
 func (l *Local) Refund(tenant string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t := l.tenants[tenant]; t != nil {
+	if t := l.borrowers[tenant]; t != nil {
 		t.returned++
 		t.deniedUntil = time.Time{}
 	}
@@ -254,7 +255,7 @@
 func (l *Local) Use(tenant string) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t := l.tenants[tenant]; t != nil && time.Since(t.useAt) < useTTL {
+	if t := l.borrowers[tenant]; t != nil && time.Since(t.useAt) < useTTL {
 		return t.use
 	}
 	return 0
@@ -265,7 +266,7 @@
 func (l *Local) Tick(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name, t := range l.tenants {
+	for name, t := range l.borrowers {
 		t.expireLeases(now)
 		if t.starved && !now.Before(t.deniedUntil) {
 			t.starved = false
@@ -275,7 +276,7 @@
 			l.startAsk(name, t, 0, now)
 		}
 		if !t.asking && t.waiting == 0 && now.Sub(t.requestedAt) >= idlePeriod {
-			delete(l.tenants, name)
+			delete(l.borrowers, name)
 		}
 	}
 }
@@ -284,8 +285,8 @@
 func (l *Local) Counts() map[string]Count {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	counts := make(map[string]Count, len(l.tenants))
-	for name, t := range l.tenants {
+	counts := make(map[string]Count, len(l.borrowers))
+	for name, t := range l.borrowers {
 		counts[name] = t.count
 	}
 	return counts
--- a/lentilward/quota/take.go
+++ b/lentilward/quota/take.go
@@ -11,7 +11,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	t := l.ensureTenant(subject, limit, now)
+	t := l.ensureBorrower(subject, limit, now)
 	if !t.takeLease(now) {
 		if !t.isUnreachable(now) || t.fallback.Take(1, now) == 0 {
 			return false
@@ -34,7 +34,7 @@
 func (l *Local) HasToken(subject string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t, now := l.tenants[subject], time.Now()
+	t, now := l.borrowers[subject], time.Now()
 	if t == nil {
 		return false
 	}
@@ -45,11 +45,11 @@
 // Want asks for a token that was not at hand, and reports whether an answer is awaited. wake
 // is called with the number of tokens once there are some, and with 1 once it is known that
 // there are none now, and when to ask again.
-func (l *Local) Want(subject string, limit Limit, wake func(tokens int)) bool {
+func (l *Local) Want(subject string, limit Limit, wake func(tokens int)) (asked bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	t := l.ensureTenant(subject, limit, now)
+	t := l.ensureBorrower(subject, limit, now)
 	t.wake, t.requestedAt = wake, now
 	if now.Before(t.deniedUntil) || t.isUnreachable(now) {
 		t.starved = true
@@ -62,11 +62,11 @@
 	return true
 }
 
-// TokenAt returns until when the home has no token of a subject, as far as it has said so.
-func (l *Local) TokenAt(subject string) time.Time {
+// DeniedUntil returns until when the home has no token of a subject, as far as it has said so.
+func (l *Local) DeniedUntil(subject string) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t := l.tenants[subject]; t != nil && len(t.leases) == 0 {
+	if t := l.borrowers[subject]; t != nil && len(t.leases) == 0 {
 		return t.deniedUntil
 	}
 	return time.Time{}
@@ -78,7 +78,7 @@
 	share := limit.Rate / float64(max(1, l.Instances()))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.tenants[subject]
+	t := l.borrowers[subject]
 	if t == nil {
 		return share
 	}
