Keep a named limit while some replies leave it out

A server that names its limit in every other reply got 161 requests in 4 s where 125 are allowed: each reply without a limit ended it until the next one. So do replies that overtake each other when the limit begins, and refusals, which need not name it. A limit now ends with a successful reply that names none, 0.2 s after the last one that did.

TestLimitThatComesAndGoesIsKept failed before; it also has a limit that is named again after pauses of 3 s, which held before.

--- a/lentilward/balance/limited.go
+++ b/lentilward/balance/limited.go
@@ -13,6 +13,9 @@
 	// minNamedLimit is the least limit that is kept, in requests a second: without any
 	// request it would never be known that the server names no limit any more.
 	minNamedLimit = 0.5
+	// limitEndDelay is how long after the last reply that named a limit one that names none
+	// ends it: replies overtake each other, and a server may name it in some of them only.
+	limitEndDelay = 200 * time.Millisecond
 	// limitBurstPeriod is the time whose requests a server gets at once after a pause.
 	limitBurstPeriod = 500 * time.Millisecond
 )
@@ -22,8 +25,9 @@
 type namedLimit struct {
 	mu        sync.Mutex
 	perSecond float64
-	// since is when the server first named a limit; zero while it names none.
-	since time.Time
+	// since is when the server first named a limit, and namedAt when it last did; zero while
+	// it names none.
+	since, namedAt time.Time
 	// reported is the limit of the last report, at reportedAt.
 	reported   float64
 	reportedAt time.Time
@@ -44,33 +48,32 @@
 	Ended     bool
 }
 
-// RecordNamedLimit records whether a reply of the server named a limit, and which.
-func (s *Server) RecordNamedLimit(perSecond float64, named bool, now time.Time) {
-	if !named && s.limit.Load() == nil {
-		return
-	}
+// RecordNamedLimit records that a reply of the server named a limit.
+func (s *Server) RecordNamedLimit(perSecond float64, now time.Time) {
 	l := &s.named
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	defer s.applyNamedLimit()
-	l.perSecond = perSecond
-	switch {
-	case !named:
-		l.since = time.Time{}
-	case l.since.IsZero():
+	l.perSecond, l.namedAt = perSecond, now
+	if l.since.IsZero() {
 		l.since = now
 	}
+	rate := max(minNamedLimit, perSecond)
+	if old := s.limit.Load(); old == nil || old.Rate != rate {
+		s.limit.Store(&quota.Limit{Rate: rate, Burst: rate * limitBurstPeriod.Seconds()})
+	}
 }
 
-// applyNamedLimit makes the limit that was named last apply. The caller holds named.mu.
-func (s *Server) applyNamedLimit() {
-	if s.named.since.IsZero() {
-		s.limit.Store(nil)
+// RecordNoLimit records that a successful reply of the server named no limit.
+func (s *Server) RecordNoLimit(now time.Time) {
+	if !s.NamesLimit() {
 		return
 	}
-	rate := max(minNamedLimit, s.named.perSecond)
-	if old := s.limit.Load(); old == nil || old.Rate != rate {
-		s.limit.Store(&quota.Limit{Rate: rate, Burst: rate * limitBurstPeriod.Seconds()})
+	l := &s.named
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.namedAt) >= limitEndDelay {
+		l.since = time.Time{}
+		s.limit.Store(nil)
 	}
 }
 
--- a/lentilward/balance/limited_test.go
+++ b/lentilward/balance/limited_test.go
@@ -45,7 +45,7 @@
 func TestCallsBeyondNamedLimitGoToOtherServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, near, remote, left := newLimitedService()
-		near.RecordNamedLimit(10, true, time.Now())
+		near.RecordNamedLimit(10, time.Now())
 		*left = 3
 		calls := make(map[*Server]int)
 		for range 40 {
@@ -60,7 +60,8 @@
 		if calls[near] != 3 || calls[remote] != 37 {
 			t.Errorf("%d calls of the limited server and %d of the other, want 3 and 37", calls[near], calls[remote])
 		}
-		near.RecordNamedLimit(0, false, time.Now())
+		time.Sleep(limitEndDelay)
+		near.RecordNoLimit(time.Now())
 		if server := s.Acquire(nil, time.Now()); server != near {
 			t.Error("the server gets no call although it names no limit any more")
 		}
@@ -73,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, near, remote, left := newLimitedService()
 		for _, server := range []*Server{near, remote} {
-			server.RecordNamedLimit(10, true, time.Now())
+			server.RecordNamedLimit(10, time.Now())
 		}
 		first := &Waiter{Priority: 1, Deadline: time.Now().Add(time.Hour), Wake: func() {}}
 		s.AddWaiter(first)
--- a/lentilward/gateway_limits_test.go
+++ b/lentilward/gateway_limits_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"lentilward.org/platform"
 )
 
 // Bounds of a server's named limit: in any limitWindow it gets at most limitFactor times
@@ -28,6 +30,10 @@
 	named     bool
 	namedAt   time.Time
 	arrivals  []time.Time
+	// alternates makes every other reply name no limit.
+	alternates bool
+	// ids counts the requests by their IDs.
+	ids map[string]int
 }
 
 // name makes the server name a limit from now on, or none.
@@ -43,7 +49,11 @@
 func (s *limitedServer) respond(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, time.Now())
-	if s.named {
+	if s.ids == nil {
+		s.ids = make(map[string]int)
+	}
+	s.ids[r.Header.Get("Request-Id")]++
+	if s.named && !(s.alternates && len(s.arrivals)%2 == 0) {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(s.perSecond, 'f', -1, 64))
 	}
 	s.mu.Unlock()
@@ -86,6 +96,11 @@
 // It returns how many were answered with each status, and the longest time that a refusal as
 // not run took.
 func load(fleet func() []*Gateway, pause, d time.Duration) (statuses map[int]int, slowestRefusal time.Duration) {
+	return loadPath(fleet, http.MethodGet, "/a/", pause, d)
+}
+
+// loadPath is load with requests of one kind.
+func loadPath(fleet func() []*Gateway, method, path string, pause, d time.Duration) (statuses map[int]int, slowestRefusal time.Duration) {
 	var mu sync.Mutex
 	var pending sync.WaitGroup
 	statuses = make(map[int]int)
@@ -94,7 +109,7 @@
 		g := instances[i%len(instances)]
 		pending.Go(func() {
 			at := time.Now()
-			r := httptest.NewRequest(http.MethodGet, "/a/", nil)
+			r := httptest.NewRequest(method, path, nil)
 			r.Host = "h"
 			r.Header.Set("Request-Id", fmt.Sprintf("q%d", at.UnixNano()))
 			w := httptest.NewRecorder()
@@ -177,3 +192,46 @@
 		}
 	})
 }
+
+// startLimitedFleet starts instances with one limited server, and a route of either kind.
+func startLimitedFleet(t *testing.T, instances int) (*changingFleet, *limitedServer) {
+	p := newMemoryPlatform(t)
+	server := &limitedServer{}
+	p.respond = server.respond
+	p.write(t, platform.ConfigurationKey, `{"version":1,"services":[{"name":"s1","maxConnections":300}],"routes":[
+		{"name":"safe","host":"h","prefix":"/a/","kind":"safe","service":"s1","timeoutMs":1000,"targetLatencyMs":100,"maxAttempts":2},
+		{"name":"once","host":"h","prefix":"/once/","kind":"unsafe","service":"s1","timeoutMs":1000}]}`)
+	return startChangingFleet(t, p, instances), server
+}
+
+// boundOf returns the most requests that a server with a limit may get in a limitWindow.
+func boundOf(perSecond float64) int {
+	return int(limitFactor*perSecond*limitWindow.Seconds()) + limitSlack
+}
+
+// Guards against a server that names its limit in some replies only, so that each of the
+// others would end it, and against a limit that does not bind when it is named again.
+func TestLimitThatComesAndGoesIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, server := startLimitedFleet(t, 6)
+		server.alternates = true
+		server.name(20, true)
+		load(f.serving, 5*time.Millisecond, 20*time.Second)
+		if most := server.largestWindow(); most > boundOf(20) {
+			t.Errorf("limit in every other reply: %d requests in %v, want at most %d", most, limitWindow, boundOf(20))
+		}
+		server.alternates = false
+		for range 5 {
+			server.name(0, false)
+			load(f.serving, 5*time.Millisecond, 3*time.Second)
+			server.name(20, true)
+			load(f.serving, 5*time.Millisecond, 500*time.Millisecond)
+			begin := time.Now()
+			load(f.serving, 5*time.Millisecond, 3*time.Second)
+			if n, most := server.since(begin), int(limitFactor*20*3)+limitSlack; n > most {
+				t.Errorf("limit named again: %d requests in the 3 s from half a second after that, want at most %d", n, most)
+			}
+		}
+	})
+}
+
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -111,8 +111,12 @@
 	if reply != nil && reply.Leaving && c.run.parts[c.partIndex].service.RecordLeaving(c.server) {
 		c.run.engine.OnLeaving(c.server)
 	}
-	if reply != nil && !reply.Misdirected {
-		c.server.RecordNamedLimit(reply.RateLimit, reply.NamesLimit, now)
+	switch {
+	case reply == nil || reply.Misdirected:
+	case reply.NamesLimit:
+		c.server.RecordNamedLimit(reply.RateLimit, now)
+	case reply.OK():
+		c.server.RecordNoLimit(now)
 	}
 	c.mu.Lock()
 	detached, aborted := c.detached, c.aborted
