Lend by the limit that was named last

After a server's limit had fallen from 60 to 2 a second it got 24 to 35 requests in 4 s, 17 are allowed. Instances that had no requests for a while still knew 60; the limit of the latest question applied at the home, so that each of them raised the rate until the next question. A question now says how long ago the server named the limit, and the latest one applies. Limits from a configuration go by its version as before.

--- a/lentilward/balance/limited.go
+++ b/lentilward/balance/limited.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// namedLimit returns the limit with the time at which the server last named it; nil if it
+// names none.
+func (s *Server) namedLimit() *quota.Limit {
+	limit := s.limit.Load()
+	if limit == nil {
+		return nil
+	}
+	s.named.mu.Lock()
+	defer s.named.mu.Unlock()
+	dated := *limit
+	dated.SeenAt = s.named.namedAt
+	return &dated
+}
+
 // SetTokens sets what lends the tokens for calls to servers that name a limit; nil if limits
 // are not kept. It must be called before the server is used.
 func (s *Server) SetTokens(tokens *quota.Local) { s.tokens = tokens }
@@ -89,7 +103,7 @@
 // takeToken takes a token for a call, and reports whether the server needs none or one was
 // at hand.
 func (s *Server) takeToken() bool {
-	limit := s.limit.Load()
+	limit := s.namedLimit()
 	return limit == nil || s.tokens == nil || s.tokens.TryTake(s.ID, *limit)
 }
 
@@ -103,7 +117,7 @@
 // wantToken asks for a token in the background. Those that wait for the service are woken
 // once it is known whether there is one.
 func (s *Server) wantToken() {
-	limit := s.limit.Load()
+	limit := s.namedLimit()
 	if limit == nil || s.tokens == nil {
 		return
 	}
--- a/lentilward/gateway_limits_test.go
+++ b/lentilward/gateway_limits_test.go
@@ -209,6 +209,35 @@
 	return int(limitFactor*perSecond*limitWindow.Seconds()) + limitSlack
 }
 
+// Guards against instances that last saw an earlier, higher limit, since they had no requests
+// for a while, and make the home lend by it although the server names a lower one.
+func TestLimitThatFallsBindsAllInstances(t *testing.T) {
+	for _, pause := range []time.Duration{5 * time.Millisecond, 100 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, server := startLimitedFleet(t, 24)
+				server.name(60, true)
+				load(f.serving, pause, 10*time.Second)
+				server.name(2, true)
+				some := func() []*Gateway { return f.serving()[:8] }
+				load(some, pause, 5*time.Second)
+				load(f.serving, pause, 15*time.Second)
+				if most := server.largestWindow(); most > boundOf(2) {
+					t.Errorf("%d requests in %v at a limit of 2 a second, want at most %d", most, limitWindow, boundOf(2))
+				}
+				server.name(60, true)
+				load(f.serving, pause, 8*time.Second)
+				begin := time.Now()
+				load(f.serving, pause, 10*time.Second)
+				// With a request in 100 ms less is asked for than the limit.
+				if served, least := server.since(begin), 0.9*min(60, 1/pause.Seconds())*10; float64(served) < least {
+					t.Errorf("%d requests in 10 s after the limit has risen to 60 a second, want at least %.0f", served, least)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a server that names its limit in some replies only, so that each of the
 // others would end it, and against a limit that does not bind when it is named again.
 func TestLimitThatComesAndGoesIsKept(t *testing.T) {
--- a/lentilward/quota/bucket.go
+++ b/lentilward/quota/bucket.go
@@ -15,8 +15,11 @@
 	// once. A Rate of 0 sets no bound.
 	Rate  float64 `cbor:"rate"`
 	Burst float64 `cbor:"burst"`
-	// Version is the version of the configuration that the limit is from.
+	// Version is the version of the configuration that the limit is from; 0 if it is from none.
 	Version uint64 `cbor:"version"`
+	// SeenAt is when this instance has last seen the limit in force; zero if that does not
+	// matter. Instances tell each other how long ago that was.
+	SeenAt time.Time `cbor:"-"`
 }
 
 // Settings say how exact allowances are kept: in a Window a tenant's requests exceed its
--- a/lentilward/quota/home.go
+++ b/lentilward/quota/home.go
@@ -35,6 +35,9 @@
 	// Subject is what the limit is on: a tenant, or a backend server.
 	Subject string `cbor:"tenant"`
 	Limit   Limit  `cbor:"limit"`
+	// LimitAge is how long ago the asker has last seen the limit in force. Of limits of one
+	// version the latest applies.
+	LimitAge time.Duration `cbor:"limit-age,omitempty"`
 	// Need is the number of requests that wait, Ahead the number that is expected within
 	// a term besides.
 	Need  int `cbor:"need"`
@@ -127,9 +130,10 @@
 	l := h.lenders[a.Subject]
 	if l == nil {
 		l = h.newLender(a.Limit, v, now)
+		l.setLimit(a, now)
 		h.lenders[a.Subject] = l
-	} else if a.Limit.Version >= l.limit.Version {
-		l.limit = a.Limit
+	} else {
+		l.setLimit(a, now)
 	}
 	l.askedAt = now
 	l.setHome(v.IsHome, h.settings, now)
@@ -175,6 +179,16 @@
 	return l
 }
 
+// setLimit applies the limit of a question unless a later one is known.
+func (l *lender) setLimit(a Ask, now time.Time) {
+	seenAt := now.Add(-max(0, a.LimitAge))
+	if a.Limit.Version < l.limit.Version || a.Limit.Version == l.limit.Version && seenAt.Before(l.limit.SeenAt) {
+		return
+	}
+	l.limit = a.Limit
+	l.limit.SeenAt = seenAt
+}
+
 // setHome records whether this instance is the home. If it has just become the home again,
 // another one may have lent the burst.
 func (l *lender) setHome(isHome bool, s Settings, now time.Time) {
--- a/lentilward/quota/local.go
+++ b/lentilward/quota/local.go
@@ -162,6 +162,9 @@
 	if t.spent > 0 && now.Sub(t.spentAt) > l.settings.Window {
 		a.Spent = 0
 	}
+	if !t.limit.SeenAt.IsZero() {
+		a.LimitAge = now.Sub(t.limit.SeenAt)
+	}
 	t.requests, t.returned, t.spent = 0, 0, 0
 	t.asking, t.askedAt = true, now
 	go func() {
