Tell the true time until a limited server has room

Callers of a server that takes 0.4 requests a second were told to come back after a second, the bound of the Retry-After, and were refused again. The bound is gone: it is the time until the requests that wait are served, and up to half more. Requests of a route without a target latency were held to their deadline (985 ms of 1 s) where later ones went first; they are refused at half of their time.

TestRetryAfterOfLimitedServerIsTrue and TestLimitBindsRequestsThatRunOnce failed before.

--- a/lentilward/gateway_limits_test.go
+++ b/lentilward/gateway_limits_test.go
@@ -264,3 +264,65 @@
 	})
 }
 
+// Guards against requests that may run once and are sent beyond the limit, or twice.
+func TestLimitBindsRequestsThatRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, server := startLimitedFleet(t, 4)
+		server.name(20, true)
+		statuses, slowest := loadPath(f.serving, http.MethodPost, "/once/", 5*time.Millisecond, 20*time.Second)
+		if most := server.largestWindow(); most > boundOf(20) {
+			t.Errorf("%d requests in %v, want at most %d", most, limitWindow, boundOf(20))
+		}
+		if served := statuses[http.StatusOK]; served < 0.9*20*20 || slowest > 600*time.Millisecond {
+			t.Errorf("answers %v, the slowest refusal took %v", statuses, slowest)
+		}
+		for id, n := range server.ids {
+			if n > 1 {
+				t.Errorf("request %s was sent %d times", id, n)
+			}
+		}
+	})
+}
+
+// Guards against a Retry-After after which there is still no room, although no others ask.
+func TestRetryAfterOfLimitedServerIsTrue(t *testing.T) {
+	for _, perSecond := range []float64{0.4, 2, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			f, server := startLimitedFleet(t, 4)
+			server.name(perSecond, true)
+			load(f.serving, 5*time.Millisecond, 6*time.Second)
+			refused := 0
+			for i, g := range f.serving() {
+				for k := range 20 {
+					w := request(g, fmt.Sprintf("first-%d-%d", i, k))
+					if w.Code != http.StatusServiceUnavailable {
+						continue
+					}
+					refused++
+					seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+					if err != nil || seconds <= 0 {
+						t.Fatalf("limit %v: Retry-After %q", perSecond, w.Header().Get("Retry-After"))
+					}
+					time.Sleep(time.Duration(seconds * float64(time.Second)))
+					if w := request(g, fmt.Sprintf("again-%d-%d", i, k)); w.Code != http.StatusOK {
+						t.Errorf("limit %v: status %d after the Retry-After of %v s", perSecond, w.Code, seconds)
+					}
+					break
+				}
+			}
+			if refused == 0 {
+				t.Errorf("limit %v: no request was refused", perSecond)
+			}
+		})
+	}
+}
+
+// request sends one request to an instance.
+func request(g *Gateway, id string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodGet, "/a/", nil)
+	r.Host = "h"
+	r.Header.Set("Request-Id", id)
+	w := httptest.NewRecorder()
+	g.callers.ServeHTTP(w, r)
+	return w
+}
--- a/lentilward/scatter/load.go
+++ b/lentilward/scatter/load.go
@@ -57,13 +57,14 @@
 	delay := delays[min(lacking, len(delays))-1]
 	r.reported = true
 	return &domain.Refusal{
-		Reason: domain.Overloaded, Outcome: domain.NotRun, RetryAfter: min(maxLimitRetry, delay+rand.N(delay)),
+		Reason: domain.Overloaded, Outcome: domain.NotRun, RetryAfter: delay + rand.N(delay/2+1),
 		Message: "backend servers have got as many requests as they take",
 	}
 }
 
-// refuseStarved refuses a request, once its target latency has passed, of which nothing was
-// sent because servers name limits: later requests that can meet theirs go first.
+// refuseStarved refuses a request, once its target latency has passed or half of its time
+// where it has none, of which nothing was sent because servers name limits: later requests
+// that can meet their targets go first.
 func (r *run) refuseStarved(now time.Time) *domain.Refusal {
 	if r.starvedAt.IsZero() || now.Before(r.starvedAt) {
 		return nil
@@ -75,10 +76,6 @@
 	return r.checkServerLimits(now)
 }
 
-// maxLimitRetry bounds the Retry-After of requests that servers do not take: other
-// instances may stop asking for their tokens.
-const maxLimitRetry = time.Second
-
 // reportsLoad reports whether the request is a search whose services have a limit.
 func (r *run) reportsLoad() bool { return r.task.Admission != nil && len(r.task.Route.Shards) > 0 }
 
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -137,6 +137,7 @@
 			return nil, refusal
 		}
 	}
+	r.starvedAt = r.task.Begin.Add(r.deadline.Sub(r.task.Begin) / 2)
 	if target := r.task.Route.TargetLatency; target > 0 {
 		r.starvedAt = r.task.Begin.Add(target)
 	}
