--- a/lentilward/peer/quota.go
+++ b/lentilward/peer/quota.go
@@ -32,11 +32,11 @@
 	Replies []QuotaReply `cbor:"replies"`
 }
 
-// homesBody asks which instances the receiver considers the homes of tenants; the reply has
-// them in the same order.
+// homesBody asks which instances the receiver considers the homes of keys: tenants, or groups
+// of backend servers. The reply has them in the same order.
 type homesBody struct {
-	Tenants []string         `cbor:"tenants,omitempty"`
-	Homes   []netip.AddrPort `cbor:"homes,omitempty"`
+	Keys  []string         `cbor:"tenants,omitempty"`
+	Homes []netip.AddrPort `cbor:"homes,omitempty"`
 }
 
 // AskQuota asks a peer for tokens of a tenant.
@@ -49,7 +49,7 @@
 // QuotaHomes asks a peer which instances it considers the homes of tenants.
 func (l *Links) QuotaHomes(ctx context.Context, address netip.AddrPort, tenants []string) ([]netip.AddrPort, error) {
 	var reply homesBody
-	err := l.call(ctx, address, kindHomes, homesBody{Tenants: tenants}, &reply)
+	err := l.call(ctx, address, kindHomes, homesBody{Keys: tenants}, &reply)
 	return reply.Homes, err
 }
 
@@ -64,7 +64,7 @@
 // with these keys.
 func (l *Links) ServerLimitHomes(ctx context.Context, address netip.AddrPort, keys []string) ([]netip.AddrPort, error) {
 	var reply homesBody
-	err := l.call(ctx, address, kindServerLimitHomes, homesBody{Tenants: keys}, &reply)
+	err := l.call(ctx, address, kindServerLimitHomes, homesBody{Keys: keys}, &reply)
 	return reply.Homes, err
 }
 
@@ -82,9 +82,9 @@
 			return serverLimitsReply{Replies: replies}, nil
 		})
 	case kindServerLimitHomes:
-		return handleBody(f, func(b homesBody) (any, error) { return homesBody{Homes: s.ServerLimitHomes(b.Tenants)}, nil })
+		return handleBody(f, func(b homesBody) (any, error) { return homesBody{Homes: s.ServerLimitHomes(b.Keys)}, nil })
 	}
 	return handleBody(f, func(b homesBody) (any, error) {
-		return homesBody{Homes: s.QuotaHomes(b.Tenants)}, nil
+		return homesBody{Homes: s.QuotaHomes(b.Keys)}, nil
 	})
 }
