Send a batch of questions once

The timer of a batch is set anew by an urgent question, or by one too many; if it is firing at that moment it fires again, and the batch was sent and closed twice. A batch now remembers that it is sent.

TestBatchIsSentOnce panicked before.

--- a/lentilward/quota/batch.go
+++ b/lentilward/quota/batch.go
@@ -43,6 +43,9 @@
 	err       error
 	timer     *time.Timer
 	urgent    bool
+	// sent is set once the batch is sent. Its timer may fire again, since it can be set anew
+	// while it fires.
+	sent bool
 	// done is closed once replies and err are set.
 	done chan struct{}
 }
@@ -94,7 +97,12 @@
 	if b.pending[to] == current {
 		delete(b.pending, to)
 	}
+	sent := current.sent
+	current.sent = true
 	b.mu.Unlock()
+	if sent {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 	defer cancel()
 	current.replies, current.err = b.Send(ctx, to, current.questions)
--- a/lentilward/quota/batch_test.go
+++ b/lentilward/quota/batch_test.go
@@ -65,3 +65,22 @@
 		}
 	})
 }
+
+// Guards against an instance that crashes, since the timer of a batch fires while a question
+// that is urgent, or one too many, sets it anew (found on days with many limited servers).
+func TestBatchIsSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent := 0
+		b := NewBatcher(func(_ context.Context, _ string, questions []Question) ([]Reply[string], error) {
+			sent++
+			return make([]Reply[string], len(questions)), nil
+		})
+		current, _ := b.add("home", Question{Ask: Ask{Ahead: 1}})
+		b.flush("home", current)
+		b.flush("home", current)
+		time.Sleep(2 * relaxedDelay)
+		if sent != 1 {
+			t.Errorf("sent %d times", sent)
+		}
+	})
+}
