Call a third server of a shard where the others are at their limits

A first holder may now call one server beyond these for a part, and only it, if it has the asker's leave. The asker gives it while any server names a limit, and leaves an attempt out for the second holder and its own calls, so that the sum stays within maxAttempts whatever these know. That servers name limits is told in gossip by its age, since most askers call none of them; older builds ignore it.

--- a/lentilward/balance/limited.go
+++ b/lentilward/balance/limited.go
@@ -145,7 +145,7 @@
 // TokenDelay returns how long a request of a priority is expected to wait for a token,
 // because all servers that could be called name limits that are used up.
 func (s *Service) TokenDelay(priority int, now time.Time) time.Duration {
-	if s.versions.Load() != nil || !s.namesLimit() {
+	if s.versions.Load() != nil || !s.NamesLimit() {
 		return 0
 	}
 	perSecond, denied := 0.0, true
@@ -167,8 +167,28 @@
 	return time.Duration(float64(before+1) / perSecond * float64(time.Second))
 }
 
-// namesLimit reports whether any server names a limit.
-func (s *Service) namesLimit() bool {
+// AcquireBeyond takes a slot on one of the servers beyond for a request that should not be sent
+// to them, if all others that could be called have no token at hand for the limits that they
+// name; it returns nil otherwise.
+func (s *Service) AcquireBeyond(beyond []*Server, now time.Time) *Server {
+	var others []*Server
+	for _, server := range s.Servers() {
+		if slices.Contains(beyond, server) {
+			continue
+		}
+		if !server.IsOutOfService() && !server.checkBlocked(now) && !server.lacksToken() {
+			return nil
+		}
+		others = append(others, server)
+	}
+	if len(beyond) == 0 {
+		return nil
+	}
+	return s.acquire(others, nil, now)
+}
+
+// NamesLimit reports whether any server names a limit.
+func (s *Service) NamesLimit() bool {
 	return slices.ContainsFunc(s.Servers(), func(server *Server) bool { return server.limit.Load() != nil })
 }
 
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -147,6 +147,7 @@
 	g.table = member.NewTable(g.board, self, time.Now)
 	g.table.Revision = g.mirror.Revision
 	g.table.Age = g.follower.Age
+	g.table.NamesLimit = func() bool { return g.directory.ServersNamingLimit() > 0 }
 	g.prober = member.NewProber(g.board, g.table)
 	g.prober.Ping = g.links.Ping
 	g.prober.PingVia = g.links.PingVia
--- a/lentilward/gateway_holder.go
+++ b/lentilward/gateway_holder.go
@@ -38,6 +38,8 @@
 	// connection to it in the background.
 	isConnected func(netip.AddrPort) bool
 	connect     func(netip.AddrPort)
+	// seesLimits reports whether servers name limits, to this instance or others.
+	seesLimits func() bool
 	// peerCount returns the number of instances that are expected after the start.
 	peerCount func() int
 	// writeRecord writes the record of the fleet if the present one has the revision, or
@@ -57,7 +59,7 @@
 func (g *Gateway) connectHolders(store *platform.Store) {
 	h := &holders{
 		board: g.board, fleet: g.fleet, log: g.log, dataCentre: g.options.Load().DataCentre, chooser: holder.NewChooser(),
-		isConnected: g.links.CanGather, connect: g.connectPeer, fallbacks: make(map[string]*fallbackBudget),
+		isConnected: g.links.CanGather, connect: g.connectPeer, seesLimits: g.table.SeesLimits, fallbacks: make(map[string]*fallbackBudget),
 		retryBudget: func() *balance.RetryBudget {
 			o := g.options.Load()
 			return &balance.RetryBudget{Ratio: o.RetryBudget.Ratio, Slack: o.RetryBudget.Slack, Window: time.Duration(o.RetryBudget.Window)}
@@ -245,7 +247,7 @@
 		return nil
 	}
 	var groups []int
-	handover := &scatter.Handover{DataCentre: h.dataCentre, SlackShare: h.slackShare}
+	handover := &scatter.Handover{DataCentre: h.dataCentre, SlackShare: h.slackShare, SeesLimits: h.seesLimits()}
 	for _, part := range parts {
 		if !plan.RunsOwn(part.Group) {
 			groups = append(groups, part.Group)
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -47,6 +47,9 @@
 	// Known is the number of members that the sender knows, itself included; 0 in small
 	// fleets.
 	Known int `cbor:"known,omitempty"`
+	// LimitAge is how long ago a backend server has last named a limit, as far as the sender
+	// knows; 0 if none has lately.
+	LimitAge time.Duration `cbor:"limit-age,omitempty"`
 }
 
 // Table holds this instance's view of the members. It is the only writer of the
@@ -59,6 +62,8 @@
 	Revision func() uint64
 	// Age returns how long ago that revision was last known to be the newest.
 	Age func() time.Duration
+	// NamesLimit reports whether a backend server names a limit to this instance.
+	NamesLimit func() bool
 
 	mu         sync.Mutex
 	self       blackboard.Member
@@ -69,6 +74,8 @@
 	majoritySince time.Time
 	// told is the largest number of members that a message has told.
 	told int
+	// limitSeenAt is when a backend server has last named a limit to any instance.
+	limitSeenAt time.Time
 }
 
 type entry struct {
@@ -80,7 +87,7 @@
 func NewTable(board *blackboard.Board, self blackboard.Member, now func() time.Time) *Table {
 	t := &Table{board: board, now: now, self: self, members: make(map[string]*entry), lastChange: now()}
 	t.Revision = func() uint64 { return board.Config.Load().Revision }
-	t.Age = func() time.Duration { return 0 }
+	t.Age, t.NamesLimit = func() time.Duration { return 0 }, func() bool { return false }
 	t.publish()
 	return t
 }
@@ -172,7 +179,7 @@
 	if e := t.randomMember(); e != nil && len(pending) < maxUpdatesPerMessage {
 		g.Updates = append(g.Updates, e.Member)
 	}
-	g.Known = t.toldCount()
+	g.Known, g.LimitAge = t.toldCount(), t.limitAge()
 	g.addCPUShares()
 	return g
 }
@@ -206,6 +213,7 @@
 		t.mergeUpdate(m)
 	}
 	t.mergeCPUShares(g.CPUShares)
+	t.mergeLimitAge(g.LimitAge)
 	t.told = max(t.told, min(g.Known, maxToldMembers))
 	t.publish()
 }
--- a/lentilward/scatter/handover.go
+++ b/lentilward/scatter/handover.go
@@ -122,6 +122,12 @@
 		// The calls of a second holder are charged to this instance as extra calls.
 		Home: home, Credited: second || r.handover.KeepCredit(),
 	}
+	if r.reservesAttempt() {
+		terms.Beyond = !second
+		if second {
+			terms.Attempts--
+		}
+	}
 	g := Gather{
 		Request: r.task.Request, Route: route.Name, Rank: r.task.priority(), Results: route.MaxRecords,
 		HedgeAfter: time.Duration(firstResultsShare * float64(allowed)), TimeLeft: r.deadline.Sub(now), Handover: terms,
@@ -229,10 +235,20 @@
 	}
 }
 
+// reservesAttempt reports whether the holder that is asked first may call one server beyond
+// those that all instances use.
+func (r *run) reservesAttempt() bool {
+	return r.handover.SeesLimits && r.task.Route.MaxAttempts > 1
+}
+
 // callDirectly calls servers for the parts that are missing, and reports whether there
 // are any that this instance may call. The retry budget was charged for one call of each.
 func (r *run) callDirectly(h *handedParts, now time.Time) bool {
+	route := r.task.Route
 	ended, any := h.allEnded(), false
+	if r.reservesAttempt() && len(h.asked) > 0 {
+		r.restricted.n = route.MaxAttempts - 1
+	}
 	for _, i := range h.parts {
 		p := &r.parts[i]
 		if p.closed {
--- a/lentilward/scatter/handover_terms.go
+++ b/lentilward/scatter/handover_terms.go
@@ -13,6 +13,8 @@
 	Groups [][]int
 	// DataCentre is the data centre of this instance.
 	DataCentre string
+	// SeesLimits is set while servers name limits, to this instance or others.
+	SeesLimits bool
 	// Choose chooses a holder for a group, other than those that were asked.
 	Choose func(group int, asked []netip.AddrPort) (holder netip.AddrPort, dataCentre string, ok bool)
 	// IsConnecting reports whether a connection to a holder of a group is being opened.
@@ -73,6 +75,10 @@
 	// Credited is set if the first calls count already for the retry budget of the
 	// requester.
 	Credited bool `cbor:"credited,omitempty"`
+	// Beyond is set if one server beyond those that all instances use for the search may be
+	// called for a part where these have used up the limits that they name. All others that
+	// run the search then call one server less.
+	Beyond bool `cbor:"beyond,omitempty"`
 }
 
 // HolderRefusal ends a hand-over whose holder has no room. The search has not run.
--- a/lentilward/scatter/hedge.go
+++ b/lentilward/scatter/hedge.go
@@ -37,7 +37,7 @@
 
 // exhausted reports whether no other call is permitted for a part.
 func (p *part) exhausted(route *domain.Route) bool {
-	return p.startedCalls >= maxCallsPerPart || p.attempts >= route.MaxAttempts
+	return p.startedCalls >= maxCallsPerPart || p.attempts >= route.MaxAttempts || p.maxAttempts > 0 && p.attempts >= p.maxAttempts
 }
 
 // mayHedge reports whether another part may be hedged. Those of a gatherer that has not
--- a/lentilward/scatter/hold.go
+++ b/lentilward/scatter/hold.go
@@ -52,6 +52,7 @@
 			s.Budget.RecordFirstCall(begin)
 		}
 	}
+	r.mayCallBeyond = terms.Beyond
 	for i := range r.parts {
 		r.startCall(i, begin)
 	}
--- a/lentilward/scatter/part.go
+++ b/lentilward/scatter/part.go
@@ -15,6 +15,8 @@
 	// startedCalls counts all calls, attempts those that may have run. A gather
 	// counts as one of each.
 	startedCalls, attempts int
+	// maxAttempts bounds attempts below that of the route; 0 sets no such bound.
+	maxAttempts int
 	// refusals counts the calls that a server refused.
 	refusals int
 	// nextCallAt is when to try another call; zero if none is planned.
--- a/lentilward/scatter/restrict.go
+++ b/lentilward/scatter/restrict.go
@@ -42,6 +42,11 @@
 	if s == nil && !hedge && len(p.tried) > 0 {
 		s = p.service.AcquireWithin(beyond, nil, now)
 	}
+	if s == nil && r.mayCallBeyond && p.startedCalls == 0 {
+		if s = p.service.AcquireBeyond(beyond, now); s != nil {
+			p.maxAttempts = 1
+		}
+	}
 	return s
 }
 
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -70,6 +70,9 @@
 	// restricted is set if several instances may run the search, so that they must use
 	// the same servers.
 	restricted *serverOrder
+	// mayCallBeyond is set if this instance may call one server of a shard that is beyond
+	// these, where they have used up the limits that they name.
+	mayCallBeyond bool
 	// minHedgeDelay bounds the hedge delay from below.
 	minHedgeDelay time.Duration
 	// slackShare returns the share of the slack of the retry budget that calls may use.
