Let a gatherer give up parts at once whose servers are at their limits

A gatherer kept such parts waiting until the request's deadline (985 ms of a second). The requester learned of them only when it hedged, and went on admitting searches that could not succeed, since its own state of these servers showed nothing. Such a part is now reported as failed if no token is expected by the time at which the requester would hedge; the requester then asks for tokens itself, and refuses later searches when these are denied.

--- a/lentilward/scatter/gather.go
+++ b/lentilward/scatter/gather.go
@@ -92,6 +92,7 @@
 	}
 	for i := range r.parts {
 		r.startCall(i, now)
+		r.failStarved(i, flushAt.Sub(now), now)
 	}
 	r.timer = time.NewTimer(0)
 	defer r.timer.Stop()
@@ -129,6 +130,18 @@
 	}
 }
 
+// failStarved gives up a part at once whose servers have used up the limits that they name for
+// longer than a time, so that the requester learns of it and refuses later searches.
+func (r *run) failStarved(i int, allowed time.Duration, now time.Time) {
+	p := &r.parts[i]
+	if p.waiter == nil || p.service.TokenDelay(r.task.priority(), now) <= allowed {
+		return
+	}
+	p.service.RemoveWaiter(p.waiter)
+	p.waiter = nil
+	r.close(p)
+}
+
 // collectUnreported returns what was not reported yet: failed parts always, parts
 // that are done if includeDone is set, and late parts if includeLate is set.
 func (r *run) collectUnreported(reported []bool, includeDone, includeLate bool) (_ Partial, any bool) {
--- a/lentilward/scatter/limited_test.go
+++ b/lentilward/scatter/limited_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/quota"
 )
 
@@ -20,7 +21,7 @@
 	for _, s := range h.services {
 		beyond := s.ServersBeyond(attempts, "z0", now)
 		for _, server := range s.Servers() {
-			if len(beyond) > 0 && server != beyond[0] {
+			if len(beyond) == 0 || server != beyond[0] {
 				server.SetTokens(tokens)
 				server.RecordNamedLimit(1, now)
 			}
@@ -28,6 +29,31 @@
 	}
 }
 
+// Guards against a gatherer that waits with parts whose servers have got as many requests as
+// they take: the requester would neither learn of it nor refuse later searches.
+func TestGathererReportsPartsAtTheirLimitsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHolderFleet(t, serversFor(3, replyIn(4*time.Millisecond)), false)
+		h := f.holders[0]
+		useUpLimits(h, 3)
+		for _, server := range h.services[2].Servers() {
+			server.SetTokens(nil)
+		}
+		g := Gather{Request: newTask(handoverRoute(3), h.services...).Request, Services: []string{"s0", "s1", "s2"}, HedgeAfter: 20 * time.Millisecond, TimeLeft: time.Second, Results: 5}
+		// The first gather learns from the home that there are no tokens.
+		for k := range 2 {
+			begin, failed, done := time.Now(), 0, 0
+			h.engine.Gather(t.Context(), g, &balance.Route{}, nil, h.services, func(p Partial) {
+				failed += len(p.Failed)
+				done += len(p.Done)
+			})
+			if k > 0 && (failed != 2 || done != 1 || time.Since(begin) > g.HedgeAfter) {
+				t.Errorf("%d failed and %d done after %v, want 2 and 1 at once", failed, done, time.Since(begin))
+			}
+		}
+	})
+}
+
 // Guards against searches that fail although a third server of each shard has room, and
 // against requests that reach more servers than their route permits when the first holder
 // has used it and is late: the second one may know nothing of the limits.
