--- a/lentilward/backend/request.go
+++ b/lentilward/backend/request.go
@@ -42,6 +42,9 @@
 // backend server was lost.
 func (r *Request) LostCalls() uint32 { return r.lost.Load() }
 
+// Replied returns the number of calls that a backend server has answered.
+func (r *Request) Replied() uint32 { return r.replied.Load() }
+
 // AddCalls adds the counts of another request that was made on behalf of this
 // one.
 func (r *Request) AddCalls(other *Request) {
--- a/lentilward/balance/server.go
+++ b/lentilward/balance/server.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/pace"
 	"lentilward.org/lentilward/quota"
@@ -52,7 +55,9 @@
 	Service    string
 	DataCentre string
 	Version    string
-	Pool       *conn.Pool
+	// Process identifies the server process on all instances.
+	Process uint64
+	Pool    *conn.Pool
 	// Remote is set if the server is in another data centre than this instance.
 	Remote bool
 	// outOfService is set while the server must get no new calls.
@@ -109,6 +114,7 @@
 func NewServer(b domain.BackendServer, pool *conn.Pool, remote bool) *Server {
 	return &Server{
 		ID: b.ID, Service: b.Service, DataCentre: b.DataCentre, Version: b.Version, Pool: pool, Remote: remote,
+		Process:         xxhash.Sum64String(b.ID + "\x00" + strconv.FormatInt(b.Incarnation, 16)),
 		relativeLatency: 1, lastSample: time.Now(),
 	}
 }
--- a/lentilward/blackboard/suspects.go
+++ b/lentilward/blackboard/suspects.go
@@ -2,25 +2,38 @@
 
 import "time"
 
-// SuspectRequest is a suspect request: backend servers were lost while they ran it.
-// LastSeen is when this instance last recorded it or received an update about it.
+// SuspectRequest is a request during which backend servers were lost. It is immutable.
 type SuspectRequest struct {
-	Fingerprint uint64 `cbor:"fingerprint"`
-	// Crashes is the number of servers that were lost while they ran it.
-	Crashes uint32 `cbor:"crashes"`
-	// Requests is the number of times that a request with this fingerprint was
-	// sent and lost servers.
-	Requests uint32    `cbor:"requests"`
-	LastSeen time.Time `cbor:"seen"`
+	Fingerprint uint64
+	// Lost has the latest of the servers that were lost while they ran the request, oldest
+	// first. None was lost before RanAt.
+	Lost []LostServer
+	// RanAt is when a server last answered the request with success; zero if none is known
+	// to have.
+	RanAt time.Time
+	// Proven is set if a server had answered the request with success before the losses.
+	Proven bool
+	// RefusedAt is since when the request is refused; zero if it is not.
+	RefusedAt time.Time
+	// Trials counts the trials since RefusedAt, and TrialAt is when the latest ended.
+	Trials  int
+	TrialAt time.Time
 }
 
+// LostServer is a server process that was lost while it ran a request.
+type LostServer struct {
+	// Process identifies the process on all instances.
+	Process uint64
+	At      time.Time
+}
+
+// IsRefused reports whether the request is refused but for trials.
+func (r SuspectRequest) IsRefused() bool { return !r.RefusedAt.IsZero() }
+
 // SuspectRequests holds the suspect requests by fingerprint. It is immutable.
 type SuspectRequests struct {
 	ByFingerprint map[uint64]SuspectRequest
-}
-
-// Crashes returns the number of servers that were lost while they ran the request
-// with this fingerprint.
-func (s *SuspectRequests) Crashes(fingerprint uint64) uint32 {
-	return s.ByFingerprint[fingerprint].Crashes
+	// Suspected counts those that have lost servers since they last ran, and Refused those
+	// that are refused.
+	Suspected, Refused int
 }
--- a/lentilward/caller/bench_test.go
+++ b/lentilward/caller/bench_test.go
@@ -89,5 +89,5 @@
 	board.Routes.Store(&blackboard.Routes{Services: map[string]*blackboard.ServiceRoutes{"s": r}, Revision: 1})
 	log := slog.New(slog.DiscardHandler)
 	return New(board, backend.New(ctx, "bench", backend.Policy{}), store.NewClaims(nil, "bench", slog.New(slog.DiscardHandler)),
-		suspect.New(board), monitor.NewMetrics(), backend.Policy{}, log)
+		suspect.New(board, suspect.MaxCrashes), monitor.NewMetrics(), backend.Policy{}, log)
 }
--- a/lentilward/caller/canary.go
+++ b/lentilward/caller/canary.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"lentilward.org/lentilward/backend"
 	"lentilward.org/lentilward/blackboard"
@@ -13,34 +16,45 @@
 // searchCanary runs a query on one shard before the others are searched. It does
 // so if the shape of the query is not known to be safe, or if backend servers
 // were lost while they ran the query. It refuses the query once suspect.MaxCrashes
-// servers were lost in this way. It returns nil if no canary is needed or
+// servers were lost in this way, but for trials. It returns nil if no canary is needed or
 // no shard has a holder.
 func (s *Server) searchCanary(ctx context.Context, req *backend.Request, services []*blackboard.ServiceRoutes) (*canary, *domain.Refusal) {
-	fingerprint := suspect.QueryFingerprint(req.Query)
-	crashes := s.board.Suspects.Load().Crashes(fingerprint)
-	if crashes >= suspect.MaxCrashes {
-		return nil, poisonRefusal(req, crashes)
+	fingerprint, shape := suspect.QueryFingerprint(req.Query), suspect.Shape(req.Query)
+	known := s.board.Suspects.Load().ByFingerprint[fingerprint]
+	if known.IsRefused() {
+		return s.searchTrial(ctx, req, services, known)
 	}
-	shape := suspect.Shape(req.Query)
-	if crashes == 0 && s.shapes.Contains(shape) {
+	if len(known.Lost) == 0 && s.shapes.Contains(shape) {
 		return nil, nil
 	}
-	for crashes < suspect.MaxCrashes {
+	for !known.IsRefused() {
 		c := s.searchCanaryOnce(ctx, req, services)
 		if c == nil {
 			return nil, nil
 		}
 		if c.result.Err == nil {
 			s.shapes.Add(shape)
-			return c, nil
 		}
-		if c.lostCalls == 0 {
+		if c.result.Err == nil || c.lostCalls == 0 {
 			return c, nil
 		}
-		s.suspects.RecordCrashes(ctx, fingerprint, 1)
-		crashes = s.board.Suspects.Load().Crashes(fingerprint)
+		known = s.board.Suspects.Load().ByFingerprint[fingerprint]
 	}
-	return nil, poisonRefusal(req, crashes)
+	return nil, poisonRefusal(req, known, 0)
+}
+
+// searchTrial runs a query that is refused on one shard if a trial is due.
+func (s *Server) searchTrial(ctx context.Context, req *backend.Request, services []*blackboard.ServiceRoutes, known blackboard.SuspectRequest) (*canary, *domain.Refusal) {
+	end, retryAfter := s.StartTrial(ctx, known.Fingerprint, req.Deadline)
+	if end == nil {
+		return nil, poisonRefusal(req, known, retryAfter)
+	}
+	c := s.searchCanaryOnce(ctx, req, services)
+	end(c != nil)
+	if c != nil && c.lostCalls > 0 {
+		return nil, poisonRefusal(req, s.board.Suspects.Load().ByFingerprint[known.Fingerprint], 0)
+	}
+	return c, nil
 }
 
 // searchCanaryOnce runs the query on one random shard that has a holder. It
@@ -60,16 +74,27 @@
 			shard = (shard + 1) % len(r.PinnedVersion.Holders)
 		}
 		result := s.runner.Run(ctx, canaryRequest, backend.Task{Routes: r, Version: r.PinnedVersion, Shard: uint32(shard)})
+		if canaryRequest.LostCalls() > 0 {
+			s.recordLoss(ctx, canaryRequest)
+		} else if canaryRequest.Replied() > 0 {
+			s.suspects.RecordRun(ctx, suspect.QueryFingerprint(req.Query))
+		}
 		req.AddCalls(canaryRequest)
 		return &canary{service: r.Service.Name, version: r.PinnedVersion.Version, result: result, lostCalls: canaryRequest.LostCalls()}
 	}
 	return nil
 }
 
+// recordLoss records that a server was lost while it ran a query.
+func (s *Server) recordLoss(ctx context.Context, req *backend.Request) {
+	loss := xxhash.Sum64String(s.board.LocalInstance.Load().Name + "\x00" + req.ID + "\x00" + time.Now().String())
+	s.suspects.RecordLoss(ctx, suspect.QueryFingerprint(req.Query), loss, time.Now())
+}
+
 // poisonRefusal returns the refusal of a query during which backend servers
 // were lost.
-func poisonRefusal(req *backend.Request, crashes uint32) *domain.Refusal {
-	refusal := notRunRefusal(domain.Poison, "%d backend servers were lost while they ran this query", crashes)
-	refusal.Outcome = req.Outcome()
+func poisonRefusal(req *backend.Request, known blackboard.SuspectRequest, retryAfter time.Duration) *domain.Refusal {
+	refusal := notRunRefusal(domain.Poison, "%d backend servers were lost while they ran this query", len(known.Lost))
+	refusal.Outcome, refusal.RetryAfter = req.Outcome(), retryAfter
 	return refusal
 }
--- a/lentilward/caller/fake_test.go
+++ b/lentilward/caller/fake_test.go
@@ -112,7 +112,7 @@
 	}
 	log := slog.New(slog.DiscardHandler)
 	runner := backend.New(ctx, "test", backend.Policy{})
-	inst.server = New(inst.board, runner, store.NewClaims(inst.fakeKeyValue(), "test", log), suspect.New(inst.board),
+	inst.server = New(inst.board, runner, store.NewClaims(inst.fakeKeyValue(), "test", log), suspect.New(inst.board, suspect.MaxCrashes),
 		monitor.NewMetrics(), backend.Policy{}, log)
 	inst.addService("billing", 2, 1000)
 	inst.addService("audit", 1, 2000)
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -26,6 +26,10 @@
 	capacity  capacity
 	shapes    suspect.ShapeSet
 	stopper   *stopper
+	// StartTrial asks whether a query that is refused may run on one server until the
+	// deadline. If so, end must be called with whether it was sent; else end is nil, and
+	// retryAfter says when it may.
+	StartTrial func(ctx context.Context, fingerprint uint64, deadline time.Time) (end func(ran bool), retryAfter time.Duration)
 }
 
 // New returns a server that runs requests with the runner.
@@ -33,6 +37,7 @@
 	return &Server{
 		board: board, runner: runner, claims: claims, suspects: suspects, metrics: metrics, policy: policy, log: log,
 		admission: admission{board: board}, capacity: capacity{maxShards: maxShardsInFlight}, stopper: newStopper(),
+		StartTrial: func(context.Context, uint64, time.Time) (func(bool), time.Duration) { return nil, 0 },
 	}
 }
 
@@ -155,8 +160,10 @@
 		return nil, refused
 	}
 	results := s.searchServices(ctx, req, services, c)
-	if req.LostCalls() > suspect.MaxCrashes {
-		s.suspects.RecordCrashes(ctx, suspect.QueryFingerprint(req.Query), 1)
+	if req.Replied() > 0 {
+		s.suspects.RecordRun(ctx, suspect.QueryFingerprint(req.Query))
+	} else if req.LostCalls() > suspect.MaxCrashes {
+		s.recordLoss(ctx, req)
 	}
 	return results, nil
 }
--- /dev/null
+++ b/lentilward/conn/alive.go
@@ -0,0 +1,38 @@
+package conn
+
+import (
+	"errors"
+	"os"
+	"time"
+)
+
+// replySkew is how much later a reply may be read than the end of another connection that
+// the server closed after it.
+const replySkew = 10 * time.Millisecond
+
+// IsAliveSince reports whether the server process that ran at a time is known to live on: it
+// has replied since, or a connection that was open then still is. false means that this is
+// not known.
+func (p *Pool) IsAliveSince(at time.Time) bool {
+	if p.lastReply.Load() > int64(at.Add(replySkew).Sub(poolEpoch)) {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		if c.openedAt.Before(at) && c.isHealthy() {
+			return true
+		}
+	}
+	return false
+}
+
+// timesOut reports whether a connection that is no socket of the system is open: a read of
+// it then waits.
+func (c *Conn) timesOut() bool {
+	if c.SetReadDeadline(time.Unix(1, 0)) != nil {
+		return false
+	}
+	_, err := c.Conn.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+}
--- a/lentilward/conn/call.go
+++ b/lentilward/conn/call.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
+	"io"
 	"os"
 	"syscall"
 	"time"
@@ -110,7 +112,15 @@
 	if c.lastRequestID == "" && c.reader.Buffered() == 0 && errors.Is(err, syscall.ECONNRESET) {
 		return merry.Prepend(ErrConnectionReset, err.Error())
 	}
-	return merry.Prepend(ErrIncompleteReply, err.Error())
+	return fmt.Errorf("%w: %w", ErrIncompleteReply, err)
+}
+
+// IsConnectionLost reports whether a call failed since its connection ended, and not
+// because of the bytes that the server sent.
+func IsConnectionLost(err error) bool {
+	return errors.Is(err, ErrIncompleteReply) &&
+		(errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) ||
+			errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
 }
 
 // HasCarried reports whether the latest call on the connection was of the request with
--- a/lentilward/conn/pool.go
+++ b/lentilward/conn/pool.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -70,9 +71,11 @@
 	dialAfter atomic.Int64
 	idleCount atomic.Int32
 	resets    int
+	// lastReply is when a call last got a reply, in nanoseconds since poolEpoch.
+	lastReply atomic.Int64
 }
 
-// poolEpoch is the reference time of Pool.dialAfter.
+// poolEpoch is the reference time of Pool.dialAfter and Pool.lastReply.
 var poolEpoch = time.Now()
 
 // CanConnect reports whether a call would get a connection: an idle one, or a new one
@@ -103,6 +106,7 @@
 
 // recordReply records that a connection has got a reply.
 func (p *Pool) recordReply() {
+	p.lastReply.Store(int64(time.Since(poolEpoch)))
 	if p.dialAfter.Load() == 0 {
 		return
 	}
@@ -126,6 +130,7 @@
 	source      *limitedSource
 	reader      *bufio.Reader
 	writeBuffer []byte
+	openedAt    time.Time
 	idleSince   time.Time
 	idleTimeout time.Duration
 	// lastRequestID is the ID of the request of the latest call; empty before one.
@@ -179,12 +184,13 @@
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
-		return nil, merry.Prepend(ErrUnreachable, err.Error())
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	p.Opened.Add(1)
 	source := &limitedSource{conn: raw, largeReplies: &p.largeReplies}
 	return &Conn{
 		Conn: raw, pool: p, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: defaultIdleTimeout,
+		openedAt: time.Now(),
 	}, nil
 }
 
@@ -309,7 +315,7 @@
 	}
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return c.timesOut()
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
--- /dev/null
+++ b/lentilward/crash_test.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	standin "lentilward.org/lentilstand/platform"
+	"lentilward.org/platform"
+)
+
+const (
+	// crashDelay is how long a request runs that crashes its server, and crashDowntime how
+	// long the server is down then.
+	crashDelay    = 150 * time.Millisecond
+	crashDowntime = 3 * time.Second
+)
+
+// crashSite is a platform whose servers crash when they run a request to a path that ends
+// in "bad", also if its caller has left. They are back later as new processes.
+type crashSite struct {
+	*memoryPlatform
+	t *testing.T
+
+	mu      sync.Mutex
+	servers []*crashServer
+	crashes []time.Time
+	// runs has the requests to bad paths that reached a server, by request ID.
+	runs map[string]time.Time
+}
+
+type crashServer struct {
+	service    string
+	address    netip.AddrPort
+	dataCentre string
+	generation int
+	process    *http.Server
+}
+
+func newCrashSite(t *testing.T) *crashSite {
+	s := &crashSite{memoryPlatform: newMemoryPlatform(t), t: t, runs: make(map[string]time.Time)}
+	s.configure = func(o *Options) { o.Search.Hedge, o.Search.EarlyAnswer = true, true }
+	return s
+}
+
+// addServers adds servers of a service, in turn in the data centres.
+func (s *crashSite) addServers(service string, n int, dataCentres ...string) {
+	for i := range n {
+		server := &crashServer{
+			service: service, dataCentre: dataCentres[i%len(dataCentres)],
+			address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 2, byte(len(s.servers))}), 80),
+		}
+		s.servers = append(s.servers, server)
+		s.startServer(server)
+	}
+}
+
+func (s *crashSite) startServer(server *crashServer) {
+	l, err := s.network.listen(server.address)
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	id := fmt.Sprintf("i-%s-%d", server.address.Addr(), server.generation)
+	process := &http.Server{ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError), Handler: http.HandlerFunc(
+		func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasSuffix(r.URL.Path, "bad") {
+				time.Sleep(20 * time.Millisecond)
+				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+				w.Header().Set("Server-Stamp", id)
+				fmt.Fprintf(w, "%-16s", server.service)
+				return
+			}
+			s.mu.Lock()
+			if _, known := s.runs[r.Header.Get("Request-Id")]; !known {
+				s.runs[r.Header.Get("Request-Id")] = time.Now()
+			}
+			s.mu.Unlock()
+			time.Sleep(crashDelay)
+			s.crash(server, crashDowntime)
+		})}
+	s.mu.Lock()
+	server.process = process
+	s.mu.Unlock()
+	go process.Serve(l)
+	s.write(s.t, standin.ServerKey(id), string(standin.Server{Service: server.service, Address: server.address.String(), DataCentre: server.dataCentre}.Record()))
+}
+
+// crash ends the process of a server and starts another one after the downtime.
+func (s *crashSite) crash(server *crashServer, downtime time.Duration) {
+	s.mu.Lock()
+	process, old := server.process, standin.ServerKey(fmt.Sprintf("i-%s-%d", server.address.Addr(), server.generation))
+	if process == nil {
+		s.mu.Unlock()
+		return
+	}
+	server.process = nil
+	server.generation++
+	s.crashes = append(s.crashes, time.Now())
+	s.mu.Unlock()
+	process.Close()
+	time.AfterFunc(downtime, func() {
+		if s.ctx.Err() == nil {
+			s.startServer(server)
+			s.client.Commit(s.ctx, nil, nil, []string{old})
+		}
+	})
+}
+
+func (s *crashSite) crashAll(downtime time.Duration) {
+	for _, server := range s.servers {
+		s.crash(server, downtime)
+	}
+}
+
+// startFleet starts instances in data centres in turn.
+func (s *crashSite) startFleet(instances int, dataCentres ...string) []*Gateway {
+	s.dataCentre = func(number int) string { return dataCentres[number%len(dataCentres)] }
+	var fleet []*Gateway
+	for number := 1; number <= instances; number++ {
+		fleet = append(fleet, s.startInstance(s.t, number, s.seeds()...))
+	}
+	time.Sleep(8 * time.Second)
+	return fleet
+}
+
+func (s *crashSite) seeds() []netip.AddrPort {
+	return []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:8102"), netip.MustParseAddrPort("10.0.0.2:8102")}
+}
+
+// send sends a request to an instance and returns the status, or 0 if the caller has left
+// before there was an answer.
+func (s *crashSite) send(g *Gateway, method, path, id string, leave time.Duration) (status int) {
+	ctx, cancel := context.WithTimeout(s.ctx, leave)
+	defer cancel()
+	r := httptest.NewRequest(method, path, nil).WithContext(ctx)
+	r.Host = "h"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Milliseconds", "6000")
+	w := httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			status = 0
+		}
+	}()
+	g.callers.ServeHTTP(w, r)
+	return w.Code
+}
+
+// popular sends one request over and over to all instances until the context ends, with a
+// repeat after a failure, and returns the shares served in each second.
+func (s *crashSite) popular(ctx context.Context, fleet func() []*Gateway, path string) func() []float64 {
+	var mu sync.Mutex
+	var sent, served []float64
+	begin := time.Now()
+	go func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			instances := fleet()
+			second := int(time.Since(begin) / time.Second)
+			go func() {
+				ok := s.send(instances[n%len(instances)], "GET", path, fmt.Sprint("p", n), 6*time.Second) == http.StatusOK ||
+					s.send(instances[(n+1)%len(instances)], "GET", path, fmt.Sprint("r", n), 6*time.Second) == http.StatusOK
+				mu.Lock()
+				defer mu.Unlock()
+				for len(sent) <= second {
+					sent, served = append(sent, 0), append(served, 0)
+				}
+				sent[second]++
+				if ok {
+					served[second]++
+				}
+			}()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	return func() []float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		shares := make([]float64, len(sent))
+		for i := range sent {
+			shares[i] = served[i] / max(1, sent[i])
+		}
+		return shares
+	}
+}
+
+const documentRoutes = `{"name":"safe","host":"h","prefix":"/safe/","kind":"safe","service":"docs","timeoutMs":6000,"targetLatencyMs":400,"maxAttempts":2},
+	{"name":"unsafe","host":"h","prefix":"/unsafe/","kind":"unsafe","service":"docs","timeoutMs":6000,"targetLatencyMs":400,"maxAttempts":2}`
+
+func (s *crashSite) publish(routes string, services ...string) {
+	var list []string
+	for _, name := range services {
+		list = append(list, fmt.Sprintf(`{"name":%q,"maxConnections":40}`, name))
+	}
+	s.write(s.t, platform.ConfigurationKey, fmt.Sprintf(`{"version":1,"routes":[%s],"services":[%s]}`, routes, strings.Join(list, ",")))
+}
+
+// Guards against a document that many callers open and that stays refused, as a request that
+// crashes servers, after crashes of all servers of its service, also after a restart of all
+// instances (found in a review: RECOVER).
+func TestPopularDocumentIsServedAfterAllServersCrashed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		crashes int
+		gap     time.Duration
+		// killWhileDown is set if the instances are killed while the servers are down,
+		// instead of after that.
+		killWhileDown bool
+	}{
+		{"once", 1, 0, false},
+		{"instances too", 1, 0, true},
+		{"in a row", 4, 5 * time.Second, false},
+		{"as soon as they are back", 4, 4600 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCrashSite(t)
+				s.addServers("docs", 6, "z1")
+				s.publish(documentRoutes, "docs")
+				fleet := s.startFleet(3, "z1")
+				var mu sync.Mutex
+				current := func() []*Gateway {
+					mu.Lock()
+					defer mu.Unlock()
+					return slices.Clone(fleet)
+				}
+				ctx, cancel := context.WithCancel(s.ctx)
+				defer cancel()
+				shares := s.popular(ctx, current, "/safe/many")
+				restart := func() {
+					for number := 1; number <= len(fleet); number++ {
+						s.killFuncs[number]()
+					}
+					time.Sleep(770 * time.Millisecond)
+					mu.Lock()
+					defer mu.Unlock()
+					for i := range fleet {
+						fleet[i] = s.startInstance(t, i+1, s.seeds()...)
+					}
+				}
+				time.Sleep(3 * time.Second)
+				for i := range c.crashes {
+					if i > 0 {
+						time.Sleep(c.gap)
+					}
+					s.crashAll(4500 * time.Millisecond)
+				}
+				if c.killWhileDown {
+					time.Sleep(2 * time.Second)
+					restart()
+				}
+				time.Sleep(4500 * time.Millisecond)
+				back := int(3 + (time.Duration(c.crashes-1)*c.gap+4500*time.Millisecond)/time.Second)
+				time.Sleep(14 * time.Second)
+				if !c.killWhileDown {
+					restart()
+				}
+				time.Sleep(20 * time.Second)
+				got := shares()
+				if got[1] < 0.9 || got[back+13] < 0.9 || got[len(got)-3] < 0.9 {
+					t.Errorf("served in each second: %.2f, want it to be whole before the crash, 12 s after the servers are back in second %d, and at the end", got, back)
+				}
+			})
+		})
+	}
+}
--- a/lentilward/fleet_bounds_test.go
+++ b/lentilward/fleet_bounds_test.go
@@ -13,6 +13,7 @@
 	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/platform"
 	"lentilward.org/schema/domain"
 )
@@ -98,11 +99,18 @@
 		time.Sleep(250 * time.Millisecond)
 		n := m.machines()[m.poisonRandom.IntN(len(m.machines()))]
 		g := n.gateway.Load()
-		if n.isInactive() || g.directory.Current.Load() == nil || g.callers.IsPoison(p.request) {
+		if n.isInactive() || g.directory.Current.Load() == nil {
 			continue
 		}
-		g.callers.RecordServersLost(p.request, 2)
-		p.crashes += 2
+		end, servers := func(bool) {}, 2
+		if g.callers.IsPoison(p.request, "") {
+			if end, _ = g.callers.StartTrial(ctx, p.request, "", time.Now().Add(time.Second)); end == nil {
+				continue
+			}
+			servers = 1
+		}
+		p.crash(g, servers)
+		end(true)
 		if p.crashes >= 3 && p.thirdCrash.IsZero() {
 			p.thirdCrash = time.Now()
 		}
@@ -112,6 +120,14 @@
 	}
 }
 
+// crash makes an instance lose a number of servers while they run the request.
+func (p *poisonRequest) crash(g *Gateway, servers int) {
+	for range servers {
+		p.crashes++
+		g.suspects.RecordLoss(context.Background(), suspect.RequestFingerprint(p.request, ""), uint64(p.crashes), time.Now())
+	}
+}
+
 // maxLateRuns bounds the runs of a poison request after all connected instances
 // should refuse it.
 const maxLateRuns = 3
@@ -249,8 +265,8 @@
 // already.
 func TestNewInstanceFetchesSuspectRequestsFromPeers(t *testing.T) {
 	runWithFleet(t, 2, func(m *model) {
-		n, request := m.machines()[0], &domain.Request{Method: "GET", Host: "h", Target: "/a/harm"}
-		n.gateway.Load().callers.RecordServersLost(request, 2)
+		n, poison := m.machines()[0], &poisonRequest{request: &domain.Request{Method: "GET", Host: "h", Target: "/a/harm"}}
+		poison.crash(n.gateway.Load(), 2)
 		time.Sleep(time.Second)
 		n.peersUnreachable.Store(true)
 		n.restart(100 * time.Millisecond)
@@ -260,8 +276,8 @@
 		}
 		n.peersUnreachable.Store(false)
 		time.Sleep(time.Second)
-		n.gateway.Load().callers.RecordServersLost(request, 2)
-		if !n.gateway.Load().callers.IsPoison(request) {
+		poison.crash(n.gateway.Load(), 2)
+		if !n.gateway.Load().callers.IsPoison(poison.request, "") {
 			t.Error("instance does not refuse a request that crashed servers in two runs")
 		}
 	})
@@ -270,9 +286,9 @@
 // All instances still refuse a poison request after they have all restarted.
 func TestPoisonRequestsSurviveFleetRestart(t *testing.T) {
 	runWithFleet(t, 3, func(m *model) {
-		request := &domain.Request{Method: "GET", Host: "h", Target: "/a/harm"}
+		poison := &poisonRequest{request: &domain.Request{Method: "GET", Host: "h", Target: "/a/harm"}}
 		for _, n := range m.machines()[:2] {
-			n.gateway.Load().callers.RecordServersLost(request, 2)
+			poison.crash(n.gateway.Load(), 2)
 			time.Sleep(time.Second)
 		}
 		for _, n := range m.machines() {
@@ -280,7 +296,7 @@
 		}
 		time.Sleep(4 * time.Second)
 		for _, n := range m.machines() {
-			if !n.gateway.Load().callers.IsPoison(request) {
+			if !n.gateway.Load().callers.IsPoison(poison.request, "") {
 				t.Errorf("%s does not refuse the poison request", n.name)
 			}
 		}
--- a/lentilward/fleet_model_test.go
+++ b/lentilward/fleet_model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -13,14 +12,15 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	standin "lentilward.org/lentilstand/platform"
 	"lentilward.org/lentilward/balance"
-	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/peer"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/platform"
 	"lentilward.org/schema/domain"
 )
@@ -37,7 +37,8 @@
 
 var storeAddress = netip.MustParseAddrPort("10.200.0.1:80")
 
-var errUnreachable = errors.New("unreachable")
+// errUnreachable is the error of a connection to an address at which nothing listens.
+var errUnreachable = fmt.Errorf("unreachable: %w", syscall.ECONNREFUSED)
 
 // model simulates a fleet of complete instances without sockets: requests to the
 // stand-in of the store are function calls in the same process, and so are
@@ -150,17 +151,31 @@
 		}
 		return other.gateway.Load().peers.Records(since), nil
 	}
-	g.suspects.Broadcast = func(_ context.Context, s []blackboard.SuspectRequest) {
+	g.suspects.Broadcast = func(_ context.Context, s []suspect.Report) {
 		for _, x := range g.board.Members.Load().AlivePeers() {
 			go func() {
 				ctx, cancel := context.WithTimeout(m.ctx, time.Second)
 				defer cancel()
 				if other, err := m.deliver(ctx, n, x.Address); err == nil {
-					other.gateway.Load().peers.MergeSuspects(s)
+					g.suspects.AcceptRuns(ctx, other.gateway.Load().peers.MergeSuspects(s))
 				}
 			}()
 		}
 	}
+	g.trials.ask = func(ctx context.Context, to netip.AddrPort, known suspect.Report, length time.Duration) (suspect.Grant, error) {
+		other, err := m.deliver(ctx, n, to)
+		if err != nil {
+			return suspect.Grant{}, err
+		}
+		return other.gateway.Load().peers.GrantTrial(ctx, known, length), nil
+	}
+	g.trials.tell = func(ctx context.Context, to netip.AddrPort, known suspect.Report) error {
+		other, err := m.deliver(ctx, n, to)
+		if err == nil {
+			other.gateway.Load().peers.EndTrial(known)
+		}
+		return err
+	}
 	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
 		pool := conn.NewPool(b.Address)
 		pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, errUnreachable }
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -58,10 +58,13 @@
 	peers        *peer.Server
 	suspects     *suspect.List
 	poisonWriter *suspect.Persister
-	callers      *web.Server
-	engine       *scatter.Engine
-	metrics      *monitor.Metrics
-	fleet        *fleetSize
+	// crashes finds the servers that crash while they run a request.
+	crashes *suspect.Watch
+	trials  *trials
+	callers *web.Server
+	engine  *scatter.Engine
+	metrics *monitor.Metrics
+	fleet   *fleetSize
 	// rollouts is nil unless the settings have rollouts.
 	rollouts *rolloutRunner
 	// fence refuses requests with keys while nothing proves that these are still valid.
@@ -163,12 +166,7 @@
 		_, err := g.links.Ping(ctx, target, g.table.NextGossip())
 		return err
 	}
-	g.suspects = suspect.New(g.board)
-	g.suspects.Broadcast = func(ctx context.Context, s []blackboard.SuspectRequest) {
-		go g.links.ReportSuspects(context.WithoutCancel(ctx), g.board.Members.Load().AlivePeers(), s)
-	}
-	g.suspects.Persist = g.poisonWriter.Enqueue
-	g.peers.MergeSuspects = g.suspects.Merge
+	g.connectSuspects()
 	g.peers.Records = func(since uint64) peer.RecordsReply {
 		// The age is read first, so that the delta is at least as new as what it is about.
 		age := g.follower.Age()
@@ -183,6 +181,34 @@
 		func() float64 { return float64(g.fleet.size()) })
 }
 
+// connectSuspects connects the components that find requests which crash servers.
+func (g *Gateway) connectSuspects() {
+	g.suspects = suspect.New(g.board, suspect.MaxRequestCrashes)
+	g.suspects.Broadcast = func(ctx context.Context, reports []suspect.Report) {
+		ctx = context.WithoutCancel(ctx)
+		go func() {
+			g.suspects.AcceptRuns(ctx, g.links.ReportSuspects(ctx, g.board.Members.Load().AlivePeers(), reports))
+		}()
+	}
+	g.suspects.Persist = g.poisonWriter.Enqueue
+	g.suspects.OnChange = func(r blackboard.SuspectRequest) {
+		g.log.Warn("the suspicion that a request crashes servers has changed", "fingerprint", r.Fingerprint, "refused", r.IsRefused(),
+			"lost-servers", len(r.Lost), "proven", r.Proven, "trials", r.Trials, "age", time.Since(r.RefusedAt))
+	}
+	g.crashes = suspect.NewWatch(g.log)
+	g.crashes.OnLoss = func(r suspect.Run, at time.Time) {
+		g.suspects.RecordLoss(context.Background(), r.Fingerprint, r.Server.Process, at)
+	}
+	g.trials = &trials{board: g.board, suspects: g.suspects, log: g.log, started: time.Now(), ask: g.links.AskTrial, tell: g.links.EndTrial}
+	g.peers.MergeSuspects = g.suspects.Merge
+	g.peers.GrantTrial = g.trials.grant
+	g.peers.EndTrial = func(known suspect.Report) { g.suspects.EndTrial(known.Fingerprint) }
+	g.metrics.RegisterGauge("lentilward_suspect_requests", "Requests during which backend servers were lost, and that have not run well since.",
+		func() float64 { return float64(g.board.Suspects.Load().Suspected) })
+	g.metrics.RegisterGauge("lentilward_refused_requests", "Requests that are refused but for trials, since they have crashed backend servers.",
+		func() float64 { return float64(g.board.Suspects.Load().Refused) })
+}
+
 // logSilentPeer returns a function that logs a connection to a peer that was given
 // up because the peer sent nothing on it.
 func logSilentPeer(log *slog.Logger) func(netip.AddrPort, time.Duration) {
@@ -273,13 +299,13 @@
 		if r.Deleted || !strings.HasPrefix(r.Key, poisonPrefix) {
 			continue
 		}
-		fingerprint, crashes, requests, err := decodePoison(r.Key, r.Value)
+		fingerprint, record, err := decodePoison(r.Key, r.Value)
 		if err != nil {
 			g.log.Error("record of a poison request is malformed", "key", r.Key, "error", err)
 			continue
 		}
-		g.log.Info("received the record of a poison request", "fingerprint", fingerprint, "crashes", crashes, "requests", requests, "revision", r.Revision)
-		g.suspects.Merge([]blackboard.SuspectRequest{{Fingerprint: fingerprint, Crashes: crashes, Requests: requests}})
+		g.log.Info("received the record of a poison request", "fingerprint", fingerprint, "proven", record.Proven, "trials", record.Trials, "revision", r.Revision)
+		g.suspects.MergeStored(fingerprint, record.Proven, record.Trials)
 	}
 }
 
@@ -302,11 +328,14 @@
 		EncodeRefusal: platform.EncodeRefusal, SetTenant: platform.SetTenant,
 	}, g.directory, g.engine, g.log)
 	g.callers.Memory = g.options.Load().newMemory(requestMemoryShare)
-	g.callers.IsPoison = func(r *domain.Request) bool { return g.suspects.IsPoison(suspect.RequestFingerprint(r)) }
-	g.callers.RecordServersLost = func(r *domain.Request, servers int) {
-		g.log.Warn("connections to backend servers were lost during a request", "request-id", r.ID, "servers", servers)
-		g.suspects.RecordCrashes(context.Background(), suspect.RequestFingerprint(r), uint32(servers))
+	g.callers.IsPoison = func(r *domain.Request, tenant string) bool {
+		return g.board.Suspects.Load().Refused > 0 && g.suspects.IsRefused(suspect.RequestFingerprint(r, tenant))
+	}
+	g.callers.StartTrial = func(ctx context.Context, r *domain.Request, tenant string, deadline time.Time) (func(bool), time.Duration) {
+		return g.trials.start(ctx, suspect.RequestFingerprint(r, tenant), deadline)
 	}
+	g.engine.OnRan = func(fingerprint uint64) { g.suspects.RecordRun(context.Background(), fingerprint) }
+	g.engine.OnLost = g.crashes.Lost
 	g.callers.OnRequestEnd = func(r web.RequestResult) {
 		if r.Refusal != nil {
 			g.metrics.RecordRefusal(r.Refusal.Reason, r.Refusal.Outcome)
--- a/lentilward/peer/calls.go
+++ b/lentilward/peer/calls.go
@@ -9,6 +9,7 @@
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/fleet"
 	"lentilward.org/lentilward/member"
+	"lentilward.org/lentilward/suspect"
 )
 
 // suspectReportTimeout bounds how long ReportSuspects waits for the replies of
@@ -56,21 +57,37 @@
 	return reply, err
 }
 
-// ReportSuspects reports suspect requests to peers. It returns once all have
-// replied, or after suspectReportTimeout.
-func (l *Links) ReportSuspects(ctx context.Context, peers []blackboard.Member, suspects []blackboard.SuspectRequest) {
+// ReportSuspects reports suspect requests to peers. It returns once all have replied, or
+// after suspectReportTimeout, with those that have run well on a peer since.
+func (l *Links) ReportSuspects(ctx context.Context, peers []blackboard.Member, suspects []suspect.Report) []suspect.Report {
 	ctx, cancel := context.WithTimeout(ctx, suspectReportTimeout)
 	defer cancel()
-	done := make(chan struct{}, len(peers))
+	replies := make(chan []suspect.Report, len(peers))
 	for _, p := range peers {
 		go func() {
-			l.call(ctx, p.Address, kindSuspect, suspectBody{Suspects: suspects}, nil)
-			done <- struct{}{}
+			var reply suspectBody
+			l.call(ctx, p.Address, kindSuspect, suspectBody{Suspects: suspects}, &reply)
+			replies <- reply.Suspects
 		}()
 	}
+	var ran []suspect.Report
 	for range peers {
-		<-done
+		ran = append(ran, <-replies...)
 	}
+	return ran
+}
+
+// AskTrial asks a peer whether a refused request may run as a trial of at most the length
+// given.
+func (l *Links) AskTrial(ctx context.Context, address netip.AddrPort, known suspect.Report, length time.Duration) (suspect.Grant, error) {
+	var reply suspect.Grant
+	err := l.call(ctx, address, kindTrial, trialBody{Known: known, Length: length}, &reply)
+	return reply, err
+}
+
+// EndTrial tells a peer that a trial which it has granted has ended.
+func (l *Links) EndTrial(ctx context.Context, address netip.AddrPort, known suspect.Report) error {
+	return l.call(ctx, address, kindTrial, trialBody{Known: known, Ended: true}, nil)
 }
 
 // FetchWarmServers asks a peer which of the servers are warm and returns those.
--- a/lentilward/peer/frame.go
+++ b/lentilward/peer/frame.go
@@ -14,6 +14,7 @@
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/memory"
 	"lentilward.org/lentilward/mirror"
+	"lentilward.org/lentilward/suspect"
 )
 
 // maxFrameBytes is the size of the largest frame that is accepted.
@@ -34,6 +35,7 @@
 	kindPermit  kind = "permit"
 	kindRelease kind = "release"
 	kindSuspect kind = "suspect"
+	kindTrial   kind = "trial"
 	kindWarmth  kind = "warmth"
 	kindRecords kind = "records"
 	kindGather  kind = "gather"
@@ -65,7 +67,7 @@
 // revision, and all of its suspect requests.
 type RecordsReply struct {
 	mirror.Delta
-	Suspects []blackboard.SuspectRequest `cbor:"suspects,omitempty"`
+	Suspects []suspect.Report `cbor:"suspects,omitempty"`
 }
 
 // recordsBody requests the records changed after a revision; the reply is a
@@ -110,9 +112,18 @@
 	Succeeded bool   `cbor:"proven"`
 }
 
-// suspectBody reports suspect requests.
+// suspectBody reports suspect requests. The reply has those that have run well on the
+// receiver since.
 type suspectBody struct {
-	Suspects []blackboard.SuspectRequest `cbor:"suspects"`
+	Suspects []suspect.Report `cbor:"suspects"`
+}
+
+// trialBody asks whether a refused request may run as a trial of at most the length given,
+// or ends such a trial. The reply is a suspect.Grant.
+type trialBody struct {
+	Known  suspect.Report `cbor:"known"`
+	Length time.Duration  `cbor:"length,omitempty"`
+	Ended  bool           `cbor:"ended,omitempty"`
 }
 
 // warmthBody requests which of the servers are warm; the reply lists those that
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -21,6 +21,7 @@
 	"lentilward.org/lentilward/quota"
 	"lentilward.org/lentilward/rollout"
 	"lentilward.org/lentilward/scatter"
+	"lentilward.org/lentilward/suspect"
 )
 
 // peerPath is the HTTP path of the WebSocket endpoint for peers.
@@ -42,8 +43,13 @@
 	Ping func(ctx context.Context, g member.Gossip) member.Gossip
 	// Probe pings an address on behalf of a peer.
 	Probe func(ctx context.Context, target netip.AddrPort) error
-	// MergeSuspects merges suspect requests that peers report.
-	MergeSuspects func([]blackboard.SuspectRequest)
+	// MergeSuspects merges suspect requests that a peer reports, and returns those that have
+	// run well on this instance since.
+	MergeSuspects func([]suspect.Report) []suspect.Report
+	// GrantTrial decides whether a refused request may run as a trial, and EndTrial ends one
+	// that was granted.
+	GrantTrial func(ctx context.Context, known suspect.Report, length time.Duration) suspect.Grant
+	EndTrial   func(known suspect.Report)
 	// Records returns the records changed after a revision, and the suspect
 	// requests.
 	Records func(since uint64) RecordsReply
@@ -206,8 +212,15 @@
 		})
 	case kindSuspect:
 		return handleBody(f, func(b suspectBody) (any, error) {
-			s.MergeSuspects(b.Suspects)
-			return struct{}{}, nil
+			return suspectBody{Suspects: s.MergeSuspects(b.Suspects)}, nil
+		})
+	case kindTrial:
+		return handleBody(f, func(b trialBody) (any, error) {
+			if b.Ended {
+				s.EndTrial(b.Known)
+				return suspect.Grant{}, nil
+			}
+			return s.GrantTrial(ctx, b.Known, b.Length), nil
 		})
 	case kindRolloutReport, kindRolloutStop:
 		return s.dispatchRollout(f)
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -9,6 +9,7 @@
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/memory"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/domain"
 )
 
@@ -52,6 +53,7 @@
 		c.server.RemoveOverdueCall()
 	}
 	c.recordResult(reply, err)
+	c.reportEnd(reply, err)
 	if service := c.run.parts[c.partIndex].service; c.sentAt.Load() != nil {
 		service.Release(c.server)
 	} else {
@@ -157,6 +159,24 @@
 	}
 }
 
+// reportEnd reports what the end of the call says of whether its request crashes servers,
+// whoever still waits for the reply.
+func (c *call) reportEnd(reply *domain.Reply, err error) {
+	if c.sentAt.Load() == nil {
+		return
+	}
+	r := c.run
+	if reply != nil && reply.OK() {
+		if !r.hasRun.Swap(true) {
+			r.engine.OnRan(r.fingerprint)
+		}
+		return
+	}
+	if conn.IsConnectionLost(err) && !r.hasRun.Load() {
+		r.engine.OnLost(suspect.Run{RequestID: r.task.Request.ID, Fingerprint: r.fingerprint, Server: c.server, HasRun: r.hasRun.Load})
+	}
+}
+
 // markOverdue marks a running call as overdue.
 func (c *call) markOverdue() {
 	if c.phase.CompareAndSwap(running, overdue) {
--- a/lentilward/scatter/delegate.go
+++ b/lentilward/scatter/delegate.go
@@ -150,7 +150,7 @@
 func (r *run) startGather(gatherer netip.AddrPort, parts []int, hedgeAfter time.Duration, now time.Time) bool {
 	route := r.task.Route
 	g := Gather{
-		Request: r.task.Request, Route: route.Name, Rank: r.task.priority(), Tenant: r.task.tenantName(), Results: route.MaxRecords,
+		Request: r.task.Request, Route: route.Name, Rank: r.task.priority(), Tenant: r.task.TenantName(), Results: route.MaxRecords,
 		HedgeAfter: hedgeAfter, TimeLeft: r.deadline.Sub(now),
 	}
 	for _, i := range parts {
@@ -215,6 +215,9 @@
 	}
 	e.from.answered = true
 	r.stats.ConnectionsLost += e.partial.Lost
+	if len(e.partial.Done) > 0 {
+		r.hasRun.Store(true)
+	}
 	merged := &mergedParts{proofs: e.partial.Proofs, records: e.partial.Records}
 	newParts := 0
 	for _, k := range e.partial.Done {
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -13,6 +13,7 @@
 	"lentilward.org/lentilward/balance"
 	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/memory"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/domain"
 )
 
@@ -40,6 +41,10 @@
 	// OnReset is called when a server has reset a new connection, with the time for which
 	// no other is opened.
 	OnReset func(*balance.Server, time.Duration)
+	// OnRan is called when a server has first answered a request with success, and OnLost
+	// with each call whose connection was lost.
+	OnRan  func(fingerprint uint64)
+	OnLost func(suspect.Run)
 	// BudgetShare returns this instance's share of the slack of the retry budget
 	// that all instances use together.
 	BudgetShare func() float64
@@ -75,6 +80,7 @@
 		OnReset: func(*balance.Server, time.Duration) {}, BudgetShare: func() float64 { return 1 },
 		ChooseGatherer: func(map[string]int) (netip.AddrPort, string, bool) { return netip.AddrPort{}, "", false },
 		PlanHandover:   func(*Task) *Handover { return nil }, HolderShare: func() float64 { return 1 },
+		OnRan: func(uint64) {}, OnLost: func(suspect.Run) {},
 	}
 	e.SetPolicy(Policy{})
 	return e
@@ -115,6 +121,9 @@
 	Transit time.Duration
 	// Hold gets the memory of the replies; nil releases it as soon as they are read.
 	Hold *memory.Hold
+	// Trial is set if the request is suspected to crash servers: it is sent to one server,
+	// and a search to the others once that has replied.
+	Trial bool
 }
 
 // Stats counts the work done to answer a request. Missing is the number of
@@ -141,8 +150,8 @@
 // nor route sets a timeout.
 const maxRequestTimeout = 30 * time.Second
 
-// deadline returns when the answer must reach the caller.
-func (t *Task) deadline() time.Time {
+// Deadline returns when the answer must reach the caller.
+func (t *Task) Deadline() time.Time {
 	timeout := maxRequestTimeout
 	if t.Request.TimeLeft > 0 {
 		timeout = min(timeout, t.Request.TimeLeft)
@@ -156,6 +165,13 @@
 // Run answers or refuses a request. A context that ends means that the caller has
 // disconnected: Run then aborts all calls and returns at once.
 func (e *Engine) Run(ctx context.Context, t Task) (*domain.Answer, Stats, *domain.Refusal) {
+	if t.Trial {
+		return e.runTrial(ctx, t)
+	}
+	return e.run(ctx, t)
+}
+
+func (e *Engine) run(ctx context.Context, t Task) (*domain.Answer, Stats, *domain.Refusal) {
 	r := newRun(ctx, e, t)
 	defer r.finish()
 	answer, refusal := r.loop(ctx)
--- a/lentilward/scatter/handover_results.go
+++ b/lentilward/scatter/handover_results.go
@@ -87,6 +87,9 @@
 		return
 	}
 	r.stats.ConnectionsLost += p.Lost
+	if len(p.Done) > 0 {
+		r.hasRun.Store(true)
+	}
 	if r.mergeDone(a, p) {
 		a.answered = true
 		a.merged += len(p.Done)
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/memory"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/domain"
 )
 
@@ -29,6 +31,10 @@
 	engine *Engine
 	policy *Policy
 	task   Task
+	// fingerprint identifies the request among those that are suspected to crash servers.
+	fingerprint uint64
+	// hasRun is set once a server has answered the request with success.
+	hasRun atomic.Bool
 	// deadline is when the request is given up. From earlyAnswerAt on it is
 	// answered as soon as enough parts have replied.
 	deadline, earlyAnswerAt time.Time
@@ -87,9 +93,9 @@
 }
 
 func newRun(ctx context.Context, e *Engine, t Task) *run {
-	deadline := t.deadline()
+	deadline := t.Deadline()
 	r := &run{
-		engine: e, policy: e.policy.Load(), task: t, deadline: deadline.Add(-min(deadlineMargin, deadline.Sub(t.Begin)/deadlineMarginDivisor)),
+		engine: e, policy: e.policy.Load(), task: t, fingerprint: suspect.RequestFingerprint(t.Request, t.TenantName()), deadline: deadline.Add(-min(deadlineMargin, deadline.Sub(t.Begin)/deadlineMarginDivisor)),
 		parts: make([]part, len(t.Services)), pendingParts: len(t.Services),
 		results: make(chan callResult, len(t.Services)*maxCallsPerPart), wokenParts: make(chan int, len(t.Services)),
 		gatherEvents: make(chan gatherEvent, 2*len(t.Services)+6*maxGatherers), slackShare: e.BudgetShare,
@@ -118,7 +124,9 @@
 // loop runs the request until it is answered or refused.
 func (r *run) loop(ctx context.Context) (*domain.Answer, *domain.Refusal) {
 	now := time.Now()
-	r.handover = r.engine.PlanHandover(&r.task)
+	if !r.task.Trial {
+		r.handover = r.engine.PlanHandover(&r.task)
+	}
 	for i, s := range r.task.Services {
 		r.parts[i].service = s
 		if r.handover == nil {
--- a/lentilward/scatter/tenant.go
+++ b/lentilward/scatter/tenant.go
@@ -17,8 +17,8 @@
 	return t
 }
 
-// tenantName returns the name of the tenant of the request, or "" if it has none.
-func (t *Task) tenantName() string {
+// TenantName returns the name of the tenant of the request, or "" if it has none.
+func (t *Task) TenantName() string {
 	if t.Tenant == nil {
 		return ""
 	}
--- a/lentilward/storeclient.go
+++ b/lentilward/storeclient.go
@@ -73,10 +73,14 @@
 	return r
 }
 
-// storePoisonRequest writes a poison request under a lease, so that the record
-// expires after ttl.
+// storePoisonRequest writes a request that is refused under a lease, so that the record
+// expires after ttl, or deletes the record of one that is not refused any more.
 func storePoisonRequest(ctx context.Context, c *platform.Store, request blackboard.SuspectRequest, ttl time.Duration) error {
-	value, err := encodePoison(request.Crashes, request.Requests)
+	if !request.IsRefused() {
+		_, err := c.Commit(ctx, nil, nil, []string{poisonKey(request.Fingerprint)})
+		return err
+	}
+	value, err := encodePoison(request)
 	if err != nil {
 		return err
 	}
--- a/lentilward/suspect/persister_test.go
+++ b/lentilward/suspect/persister_test.go
@@ -22,7 +22,7 @@
 			if attempts < 3 {
 				return errors.New("refused")
 			}
-			if suspect.Fingerprint != 7 || suspect.Requests != 2 || ttl != suspectTTL {
+			if suspect.Fingerprint != 7 || !suspect.IsRefused() || ttl != recordTTL {
 				t.Errorf("wrote %+v with a TTL of %v", suspect, ttl)
 			}
 			written++
@@ -31,8 +31,8 @@
 		go p.Run(ctx)
 		a, _ := newConnectedLists()
 		a.Persist = p.Enqueue
-		for range 4 {
-			a.RecordCrashes(ctx, 7, 2)
+		for process := range uint64(6) {
+			a.RecordLoss(ctx, 7, process, time.Now())
 		}
 		time.Sleep(time.Minute)
 		cancel()
--- /dev/null
+++ b/lentilward/suspect/report.go
@@ -0,0 +1,105 @@
+package suspect
+
+import (
+	"slices"
+	"time"
+
+	"lentilward.org/lentilward/blackboard"
+)
+
+// maxLostServers bounds the lost servers that are kept of each request.
+const maxLostServers = 8
+
+// Report is what an instance tells others about a suspect request. Times are given as ages,
+// since clocks differ; 0 stands for a time that is not set.
+type Report struct {
+	Fingerprint uint64        `cbor:"fingerprint"`
+	Lost        []LostReport  `cbor:"lost-servers,omitempty"`
+	Ran         time.Duration `cbor:"ran,omitempty"`
+	Proven      bool          `cbor:"proven,omitempty"`
+	Refused     time.Duration `cbor:"refused,omitempty"`
+	Trials      int           `cbor:"trials,omitempty"`
+	Trial       time.Duration `cbor:"trial,omitempty"`
+}
+
+// LostReport is a lost server in a Report.
+type LostReport struct {
+	Process uint64        `cbor:"process"`
+	Age     time.Duration `cbor:"age"`
+}
+
+func newReport(r blackboard.SuspectRequest, now time.Time) Report {
+	report := Report{
+		Fingerprint: r.Fingerprint, Ran: ageOf(r.RanAt, now), Proven: r.Proven, Refused: ageOf(r.RefusedAt, now),
+		Trials: r.Trials, Trial: ageOf(r.TrialAt, now),
+	}
+	for _, l := range r.Lost {
+		report.Lost = append(report.Lost, LostReport{l.Process, ageOf(l.At, now)})
+	}
+	return report
+}
+
+func (r Report) toRequest(now time.Time) blackboard.SuspectRequest {
+	request := blackboard.SuspectRequest{
+		Fingerprint: r.Fingerprint, RanAt: timeOf(r.Ran, now), Proven: r.Proven, RefusedAt: timeOf(r.Refused, now),
+		Trials: r.Trials, TrialAt: timeOf(r.Trial, now),
+	}
+	for _, l := range r.Lost {
+		request.Lost = append(request.Lost, blackboard.LostServer{Process: l.Process, At: timeOf(max(1, l.Age), now)})
+	}
+	return request
+}
+
+func ageOf(at, now time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(at))
+}
+
+func timeOf(age time.Duration, now time.Time) time.Time {
+	if age <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-age)
+}
+
+// merge returns what is known of a request from two sources. A run that went well ends all
+// suspicion from before it; a server that both lost counts once.
+func merge(a, b blackboard.SuspectRequest) blackboard.SuspectRequest {
+	merged := blackboard.SuspectRequest{Fingerprint: b.Fingerprint, RanAt: later(a.RanAt, b.RanAt), Proven: a.Proven || b.Proven}
+	merged.Lost = mergeLost(a.Lost, b.Lost, merged.RanAt)
+	for _, r := range []blackboard.SuspectRequest{a, b} {
+		if r.RefusedAt.After(merged.RanAt) && (merged.RefusedAt.IsZero() || r.RefusedAt.Before(merged.RefusedAt)) {
+			merged.RefusedAt = r.RefusedAt
+		}
+		if r.TrialAt.After(merged.RanAt) {
+			merged.Trials, merged.TrialAt = max(merged.Trials, r.Trials), later(merged.TrialAt, r.TrialAt)
+		}
+	}
+	return merged
+}
+
+// mergeLost returns the latest of the servers that were lost after a run that went well.
+func mergeLost(a, b []blackboard.LostServer, ranAt time.Time) []blackboard.LostServer {
+	var lost []blackboard.LostServer
+	for _, l := range slices.Concat(a, b) {
+		i := slices.IndexFunc(lost, func(other blackboard.LostServer) bool { return other.Process == l.Process })
+		switch {
+		case !l.At.After(ranAt):
+		case i < 0:
+			lost = append(lost, l)
+		case l.At.Before(lost[i].At):
+			lost[i].At = l.At
+		}
+	}
+	slices.SortFunc(lost, func(x, y blackboard.LostServer) int { return x.At.Compare(y.At) })
+	return lost[max(0, len(lost)-maxLostServers):]
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/lentilward/suspect/suspect.go
+++ b/lentilward/suspect/suspect.go
@@ -1,5 +1,6 @@
-// Package suspect records the queries and requests during which backend servers
-// were lost, and the shapes of queries that have run without such a loss.
+// Package suspect finds the requests that crash backend servers: it records which servers
+// were lost while they ran which request, refuses a request that lost too many, and lets
+// single trials through that end the refusal once one goes well.
 package suspect
 
 import (
@@ -7,157 +8,265 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lentilward.org/lentilward/blackboard"
-	"lentilward.org/schema/domain"
 )
 
 const (
-	// MaxQueryBytes is the size of the longest query that is accepted.
-	MaxQueryBytes = 4096
 	// MaxCrashes is the number of backend servers lost while they ran a query at
-	// which the query is refused.
-	MaxCrashes = 2
-	// suspectTTL is how long a suspect is kept after it was last seen.
+	// which the query is refused, and MaxRequestCrashes the same for requests that are not
+	// run on one server first.
+	MaxCrashes        = 2
+	MaxRequestCrashes = 3
+	// suspectTTL is how long a lost server counts against a request, and how long it is
+	// known that a suspect request has run well since.
 	suspectTTL = 10 * time.Minute
+	// refusedTTL is how long a refused request is kept after its latest trial. It is longer
+	// than any delay between trials.
+	refusedTTL = 2 * time.Hour
 	// maxSuspects bounds the number of suspects kept.
 	maxSuspects = 4096
-	// shapeTableSize is the number of entries of a ShapeSet; a power of two.
-	shapeTableSize = 1 << 14
 )
 
 // List records suspect requests. It is the only writer of the board's Suspects
 // cell.
 type List struct {
 	board *blackboard.Board
-	mu    sync.Mutex
-	// Broadcast sends suspects to the peers. It must return soon.
-	Broadcast func(ctx context.Context, suspects []blackboard.SuspectRequest)
-	// Persist persists a suspect. It is called when a request is first classified
-	// as poison and must not block.
+	// maxLost is the number of servers lost while they ran a request, without a run that
+	// went well in between, at which the request is refused.
+	maxLost int
+	// ran has the requests that ran well on this instance.
+	ran runTable
+
+	mu sync.Mutex
+	// recorded has the requests of which this instance has recorded a lost server since
+	// they have last run well. It tells the peers when one runs well again.
+	recorded map[uint64]bool
+	// trials has until when the trials run that this instance has granted.
+	trials map[uint64]time.Time
+
+	// Broadcast sends reports to the peers. It must return soon.
+	Broadcast func(ctx context.Context, reports []Report)
+	// Persist stores a request that is refused, or removes the record of one that is not
+	// refused any more. It must not block.
 	Persist func(blackboard.SuspectRequest)
+	// OnChange is called when a request is refused or no longer is, or after a trial.
+	OnChange func(blackboard.SuspectRequest)
 }
 
-// New returns an empty list.
-func New(board *blackboard.Board) *List {
+// New returns an empty list that refuses a request once maxLost servers were lost while they
+// ran it.
+func New(board *blackboard.Board, maxLost int) *List {
 	return &List{
-		board: board, Broadcast: func(context.Context, []blackboard.SuspectRequest) {}, Persist: func(blackboard.SuspectRequest) {},
+		board: board, maxLost: maxLost, recorded: make(map[uint64]bool), trials: make(map[uint64]time.Time), Broadcast: func(context.Context, []Report) {},
+		Persist: func(blackboard.SuspectRequest) {}, OnChange: func(blackboard.SuspectRequest) {},
 	}
 }
 
-// RecordCrashes records that a number of backend servers were lost while they ran a
-// query, and broadcasts the update to the peers.
-func (s *List) RecordCrashes(ctx context.Context, fingerprint uint64, servers uint32) {
-	update := blackboard.SuspectRequest{Fingerprint: fingerprint, LastSeen: time.Now()}
-	previous := s.board.Suspects.Load().ByFingerprint[fingerprint]
-	update.Crashes, update.Requests = previous.Crashes+servers, previous.Requests+1
-	s.Merge([]blackboard.SuspectRequest{update})
-	s.Broadcast(ctx, []blackboard.SuspectRequest{update})
-	if isPoison(update) && !isPoison(previous) {
-		s.Persist(update)
+// RecordLoss records that a server process was lost at a time while it ran a request, and
+// tells the peers. A request that has run well since then is not suspect.
+func (s *List) RecordLoss(ctx context.Context, fingerprint, process uint64, at time.Time) {
+	ranAt := s.ran.find(fingerprint)
+	if !at.After(ranAt) {
+		return
+	}
+	update := blackboard.SuspectRequest{
+		Fingerprint: fingerprint, Lost: []blackboard.LostServer{{Process: process, At: at}}, Proven: !ranAt.IsZero(),
 	}
+	s.mu.Lock()
+	s.recorded[fingerprint] = true
+	s.mu.Unlock()
+	s.publish(ctx, update)
 }
 
-// All returns all recorded suspects, in no particular order.
-func (s *List) All() []blackboard.SuspectRequest {
-	return slices.Collect(maps.Values(s.board.Suspects.Load().ByFingerprint))
+// RecordRun records that a server has answered a request with success: it crashes no
+// servers.
+func (s *List) RecordRun(ctx context.Context, fingerprint uint64) {
+	now := time.Now()
+	s.ran.add(fingerprint, now)
+	known, found := s.board.Suspects.Load().ByFingerprint[fingerprint]
+	if !found || len(known.Lost) == 0 && !known.IsRefused() {
+		return
+	}
+	s.mu.Lock()
+	recorded := s.recorded[fingerprint]
+	s.mu.Unlock()
+	update := blackboard.SuspectRequest{Fingerprint: fingerprint, RanAt: now}
+	if recorded || known.IsRefused() {
+		s.publish(ctx, update)
+	} else {
+		s.apply(update)
+	}
 }
 
-// Merge merges suspects that a peer reported. It keeps the larger counts of
-// each suspect, drops expired ones, and ignores new ones beyond maxSuspects.
-func (s *List) Merge(suspects []blackboard.SuspectRequest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old := s.board.Suspects.Load()
-	next := maps.Clone(old.ByFingerprint)
-	if next == nil {
-		next = make(map[uint64]blackboard.SuspectRequest)
+// publish applies an update, tells the peers what is known of the request and stores it if
+// it is newly refused or no longer is.
+func (s *List) publish(ctx context.Context, update blackboard.SuspectRequest) {
+	before, after := s.apply(update)
+	s.Broadcast(ctx, []Report{newReport(after, time.Now())})
+	if before.IsRefused() != after.IsRefused() || before.Trials != after.Trials {
+		s.Persist(after)
 	}
-	maps.DeleteFunc(next, func(_ uint64, recorded blackboard.SuspectRequest) bool {
-		return time.Since(recorded.LastSeen) > suspectTTL
-	})
-	for _, update := range suspects {
-		merged, found := next[update.Fingerprint]
-		if !found && len(next) >= maxSuspects {
-			continue
-		}
-		merged.Fingerprint, merged.LastSeen = update.Fingerprint, time.Now()
-		merged.Crashes, merged.Requests = max(merged.Crashes, update.Crashes), max(merged.Requests, update.Requests)
-		next[update.Fingerprint] = merged
+}
+
+// All returns reports about all recorded suspects, in no particular order.
+func (s *List) All() []Report {
+	now := time.Now()
+	var reports []Report
+	for _, r := range s.board.Suspects.Load().ByFingerprint {
+		reports = append(reports, newReport(r, now))
 	}
-	s.board.Suspects.Store(&blackboard.SuspectRequests{ByFingerprint: next})
+	return reports
 }
 
-// ShapeSet is a bounded set of the shapes of queries that ran without losing a
-// backend server. Shapes that collide replace each other.
-type ShapeSet struct {
-	table [shapeTableSize]atomic.Uint64
+// Find returns what is known of a request.
+func (s *List) Find(fingerprint uint64) Report {
+	return newReport(s.board.Suspects.Load().ByFingerprint[fingerprint], time.Now())
 }
 
-// Contains reports whether a shape is in the set.
-func (s *ShapeSet) Contains(shape uint64) bool {
-	return s.table[shape%shapeTableSize].Load() == shape
+// IsRefused reports whether a request is refused but for trials.
+func (s *List) IsRefused(fingerprint uint64) bool {
+	return s.board.Suspects.Load().ByFingerprint[fingerprint].IsRefused()
 }
 
-// Add adds the shape of a query that ran without losing a backend server.
-func (s *ShapeSet) Add(shape uint64) {
-	s.table[shape%shapeTableSize].Store(shape)
+// Merge merges what a peer reports. It returns reports of those of the requests that have
+// run well on this instance since then.
+func (s *List) Merge(reports []Report) []Report {
+	now := time.Now()
+	updates := make([]blackboard.SuspectRequest, 0, len(reports))
+	var ran []Report
+	for _, report := range reports {
+		update := report.toRequest(now)
+		if ranAt := s.ran.find(update.Fingerprint); len(update.Lost) > 0 && !ranAt.IsZero() {
+			update.Proven = true
+			if !update.Lost[len(update.Lost)-1].At.After(ranAt) {
+				update.RanAt = later(update.RanAt, ranAt)
+				ran = append(ran, newReport(blackboard.SuspectRequest{Fingerprint: update.Fingerprint, RanAt: ranAt}, now))
+			}
+		}
+		updates = append(updates, update)
+	}
+	s.applyAll(updates)
+	return ran
 }
 
-// minPoisonCrashes and minPoisonRequests define a poison request: at least that
-// many backend servers were lost while they ran it, and it was received at least
-// that often. A request that merely was in flight on the same servers as a
-// poison request can therefore be sent once more.
-const (
-	minPoisonCrashes  = 3
-	minPoisonRequests = 2
-)
+// AcceptRuns takes in that requests of which this instance has recorded lost servers have
+// run well since on other instances, and tells all peers.
+func (s *List) AcceptRuns(ctx context.Context, ran []Report) {
+	for _, report := range ran {
+		update := report.toRequest(time.Now())
+		known := s.board.Suspects.Load().ByFingerprint[update.Fingerprint]
+		if len(known.Lost) > 0 && update.RanAt.After(known.RanAt) {
+			s.publish(ctx, update)
+		}
+	}
+}
 
-// IsPoison reports whether a request is recorded as a poison request.
-func (s *List) IsPoison(fingerprint uint64) bool {
-	return isPoison(s.board.Suspects.Load().ByFingerprint[fingerprint])
+// MergeStored merges the record of a refused request from the store. It says nothing of
+// its age, so that it counts only for requests of which nothing else is known.
+func (s *List) MergeStored(fingerprint uint64, proven bool, trials int) {
+	if _, found := s.board.Suspects.Load().ByFingerprint[fingerprint]; found {
+		return
+	}
+	now := time.Now()
+	update := blackboard.SuspectRequest{Fingerprint: fingerprint, Proven: proven, RefusedAt: now, Trials: trials}
+	if trials > 0 {
+		update.TrialAt = now
+	}
+	s.apply(update)
+}
+
+// apply merges an update into the list and returns what is known of the request before and
+// after it.
+func (s *List) apply(update blackboard.SuspectRequest) (before, after blackboard.SuspectRequest) {
+	before = s.board.Suspects.Load().ByFingerprint[update.Fingerprint]
+	s.applyAll([]blackboard.SuspectRequest{update})
+	return before, s.board.Suspects.Load().ByFingerprint[update.Fingerprint]
+}
+
+// applyAll merges updates into the list and drops what has expired.
+func (s *List) applyAll(updates []blackboard.SuspectRequest) {
+	if len(updates) == 0 {
+		return
+	}
+	s.mu.Lock()
+	now := time.Now()
+	next := maps.Clone(s.board.Suspects.Load().ByFingerprint)
+	if next == nil {
+		next = make(map[uint64]blackboard.SuspectRequest)
+	}
+	maps.DeleteFunc(next, func(_ uint64, r blackboard.SuspectRequest) bool { return isExpired(r, now) })
+	var changed []blackboard.SuspectRequest
+	for _, update := range updates {
+		known, found := next[update.Fingerprint]
+		if !found && len(next) >= maxSuspects && !dropOldest(next) {
+			continue
+		}
+		known.Lost = slices.DeleteFunc(slices.Clone(known.Lost), func(l blackboard.LostServer) bool {
+			return !known.IsRefused() && now.Sub(l.At) > suspectTTL
+		})
+		merged := merge(known, update)
+		if merged.RefusedAt.IsZero() && len(merged.Lost) >= s.maxLost {
+			merged.RefusedAt = merged.Lost[s.maxLost-1].At
+		}
+		next[update.Fingerprint] = merged
+		if len(merged.Lost) == 0 {
+			delete(s.recorded, update.Fingerprint)
+		}
+		if merged.IsRefused() != known.IsRefused() || merged.Trials != known.Trials {
+			changed = append(changed, merged)
+		}
+	}
+	maps.DeleteFunc(s.recorded, func(fingerprint uint64, _ bool) bool { _, found := next[fingerprint]; return !found })
+	s.board.Suspects.Store(countSuspects(next))
+	s.mu.Unlock()
+	for _, r := range changed {
+		s.OnChange(r)
+	}
 }
 
-func isPoison(recorded blackboard.SuspectRequest) bool {
-	return recorded.Crashes >= minPoisonCrashes && recorded.Requests >= minPoisonRequests
+func countSuspects(byFingerprint map[uint64]blackboard.SuspectRequest) *blackboard.SuspectRequests {
+	s := &blackboard.SuspectRequests{ByFingerprint: byFingerprint}
+	for _, r := range byFingerprint {
+		if r.IsRefused() {
+			s.Refused++
+		}
+		if r.IsRefused() || len(r.Lost) > 0 {
+			s.Suspected++
+		}
+	}
+	return s
 }
 
-// RequestFingerprint returns a hash of the method, host, target and body of a
-// request: all that a backend server sees of it.
-func RequestFingerprint(r *domain.Request) uint64 {
-	h := xxhash.New()
-	for _, text := range []string{r.Method, r.Host, r.Target} {
-		h.WriteString(text)
-		h.WriteString("\x00")
+// isExpired reports whether a request has not been suspect for so long that it is forgotten.
+func isExpired(r blackboard.SuspectRequest, now time.Time) bool {
+	if r.IsRefused() {
+		return now.Sub(later(r.RefusedAt, r.TrialAt)) > refusedTTL
 	}
-	h.Write(r.Body)
-	return h.Sum64()
+	return now.Sub(lastEvent(r)) > suspectTTL
 }
 
-// QueryFingerprint returns a hash of the exact text of a query.
-func QueryFingerprint(query string) uint64 {
-	return xxhash.Sum64String(query)
+// lastEvent returns when a request last ran well or lost a server.
+func lastEvent(r blackboard.SuspectRequest) time.Time {
+	if len(r.Lost) > 0 {
+		return later(r.RanAt, r.Lost[len(r.Lost)-1].At)
+	}
+	return r.RanAt
 }
 
-// Shape returns a hash of a query in which all runs of digits count as equal.
-// The query must not be longer than MaxQueryBytes.
-func Shape(query string) uint64 {
-	var shape [MaxQueryBytes]byte
-	n := 0
-	for i := range len(query) {
-		c := query[i]
-		if c >= '0' && c <= '9' {
-			c = '#'
-			if n > 0 && shape[n-1] == '#' {
-				continue
-			}
+// dropOldest drops the request whose last event is the oldest, and reports whether there is
+// one that is not refused.
+func dropOldest(requests map[uint64]blackboard.SuspectRequest) bool {
+	var oldest blackboard.SuspectRequest
+	found := false
+	for _, r := range requests {
+		if !r.IsRefused() && (!found || lastEvent(r).Before(lastEvent(oldest))) {
+			oldest, found = r, true
 		}
-		shape[n] = c
-		n++
 	}
-	return xxhash.Sum64(shape[:n])
+	if found {
+		delete(requests, oldest.Fingerprint)
+	}
+	return found
 }
--- a/lentilward/suspect/suspect_test.go
+++ b/lentilward/suspect/suspect_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/schema/domain"
@@ -11,34 +13,141 @@
 // newConnectedLists returns the lists of two instances that send each other
 // their updates.
 func newConnectedLists() (a, b *List) {
-	a, b = New(blackboard.New(blackboard.LocalInstance{})), New(blackboard.New(blackboard.LocalInstance{}))
-	a.Broadcast = func(_ context.Context, s []blackboard.SuspectRequest) { b.Merge(s) }
-	b.Broadcast = func(_ context.Context, s []blackboard.SuspectRequest) { a.Merge(s) }
+	a, b = newList(), newList()
+	connect(a, b)
 	return a, b
 }
 
-// A request is refused at every instance once it has arrived twice and three
-// backend servers in all were lost with it.
+func newList() *List {
+	return New(blackboard.New(blackboard.LocalInstance{}), MaxRequestCrashes)
+}
+
+func connect(a, b *List) {
+	a.Broadcast = func(ctx context.Context, r []Report) { a.AcceptRuns(ctx, b.Merge(r)) }
+	b.Broadcast = func(ctx context.Context, r []Report) { b.AcceptRuns(ctx, a.Merge(r)) }
+}
+
+// A request is refused at every instance once three backend servers in all were lost
+// with it.
 func TestPoisonRequestIsRefusedAtEveryInstance(t *testing.T) {
 	a, b := newConnectedLists()
-	fingerprint := RequestFingerprint(&domain.Request{Method: "GET", Host: "h", Target: "/x"})
-	a.RecordCrashes(t.Context(), fingerprint, 2)
-	if a.IsPoison(fingerprint) || b.IsPoison(fingerprint) {
-		t.Fatal("refused after one request")
+	fingerprint := RequestFingerprint(&domain.Request{Method: "GET", Host: "h", Target: "/x"}, "")
+	a.RecordLoss(t.Context(), fingerprint, 1, time.Now())
+	a.RecordLoss(t.Context(), fingerprint, 2, time.Now())
+	if a.IsRefused(fingerprint) || b.IsRefused(fingerprint) {
+		t.Fatal("refused after two lost servers")
+	}
+	b.RecordLoss(t.Context(), fingerprint, 3, time.Now())
+	if !a.IsRefused(fingerprint) || !b.IsRefused(fingerprint) {
+		t.Fatal("not refused after three lost servers")
+	}
+}
+
+// Guards against taking losses at the same moment on several instances for one: none of them
+// has heard of the others yet.
+func TestLossesAtOneMomentAddUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lists []*List
+		for range 4 {
+			lists = append(lists, newList())
+		}
+		for i, l := range lists {
+			l.Broadcast = func(_ context.Context, r []Report) {
+				time.AfterFunc(time.Millisecond, func() {
+					for j, other := range lists {
+						if i != j {
+							other.Merge(r)
+						}
+					}
+				})
+			}
+		}
+		for i, l := range lists {
+			l.RecordLoss(t.Context(), 7, uint64(i), time.Now())
+		}
+		time.Sleep(10 * time.Millisecond)
+		for i, l := range lists {
+			if !l.IsRefused(7) {
+				t.Errorf("instance %d does not refuse a request that has crashed four servers at once", i)
+			}
+		}
+	})
+}
+
+// Guards against counting one lost server once for each instance or request that had calls
+// in flight on it.
+func TestOneLostServerCountsOnce(t *testing.T) {
+	a, b := newConnectedLists()
+	for range 3 {
+		a.RecordLoss(t.Context(), 7, 1, time.Now())
+		b.RecordLoss(t.Context(), 7, 1, time.Now())
 	}
-	b.RecordCrashes(t.Context(), fingerprint, 1)
-	if !a.IsPoison(fingerprint) || !b.IsPoison(fingerprint) {
-		t.Fatal("not refused after two requests and three lost servers")
+	if a.IsRefused(7) || b.IsRefused(7) {
+		t.Fatal("refused after one lost server")
 	}
 }
 
-// A request that failed once may only have been in flight on the same servers
-// as a poison request, however many were lost, so it is not refused yet.
-func TestRequestLostOnceIsNotPoison(t *testing.T) {
-	a, _ := newConnectedLists()
-	a.RecordCrashes(t.Context(), 7, 20)
-	if a.IsPoison(7) {
-		t.Fatal("refused after one request")
+// Guards against counting what was lost beside a popular request over a long time: it has
+// run well in between, on any instance.
+func TestRunsEndTheSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newConnectedLists()
+		for process := range uint64(8) {
+			for _, l := range []*List{a, b} {
+				l.RecordLoss(t.Context(), 7, process, time.Now())
+			}
+			time.Sleep(time.Millisecond)
+			[]*List{a, b}[process%2].RecordRun(t.Context(), 7)
+			time.Sleep(time.Second)
+			if a.IsRefused(7) || b.IsRefused(7) {
+				t.Fatalf("refused after %d losses with a run after each", process+1)
+			}
+		}
+	})
+}
+
+// Guards against a loss that is reported late and counts although the request has run well
+// on another instance since.
+func TestRunsOnOtherInstancesCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newConnectedLists()
+		lostAt := time.Now()
+		time.Sleep(20 * time.Millisecond)
+		b.RecordRun(t.Context(), 7)
+		for process := range uint64(4) {
+			a.RecordLoss(t.Context(), 7, process, lostAt)
+		}
+		if a.IsRefused(7) || b.IsRefused(7) {
+			t.Fatal("refused although it has run well on another instance since")
+		}
+	})
+}
+
+// Guards against losses that add up over days.
+func TestOldLossesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, _ := newConnectedLists()
+		for process := range uint64(9) {
+			a.RecordLoss(t.Context(), 7, process, time.Now())
+			time.Sleep(suspectTTL/2 + time.Second)
+		}
+		if a.IsRefused(7) {
+			t.Fatal("refused although never more than two servers were lost within the period")
+		}
+	})
+}
+
+// Guards against suspects that keep a request which crashes servers from being recorded.
+func TestOldestSuspectMakesRoom(t *testing.T) {
+	a := newList()
+	for fingerprint := range uint64(maxSuspects + 10) {
+		a.RecordLoss(t.Context(), fingerprint, 1, time.Now())
+	}
+	for process := range uint64(MaxRequestCrashes) {
+		a.RecordLoss(t.Context(), 1<<40, process, time.Now())
+	}
+	if suspects := a.board.Suspects.Load(); !a.IsRefused(1<<40) || len(suspects.ByFingerprint) > maxSuspects {
+		t.Fatalf("refused: %v, with %d suspects", a.IsRefused(1<<40), len(suspects.ByFingerprint))
 	}
 }
 
@@ -51,14 +160,16 @@
 		{Method: "GET", Host: "h", Target: "/x?"},
 		{Method: "GET", Host: "h", Target: "/x", Body: []byte("b")},
 	} {
-		if fingerprint := RequestFingerprint(&r); seen[fingerprint] {
-			t.Errorf("%+v has the fingerprint of another request", r)
-		} else {
-			seen[fingerprint] = true
+		for _, tenant := range []string{"", "one"} {
+			if fingerprint := RequestFingerprint(&r, tenant); seen[fingerprint] {
+				t.Errorf("%+v of %q has the fingerprint of another request", r, tenant)
+			} else {
+				seen[fingerprint] = true
+			}
 		}
 	}
 	sameButID := &domain.Request{ID: "other", Method: "GET", Host: "h", Target: "/x"}
-	if !seen[RequestFingerprint(sameButID)] {
+	if !seen[RequestFingerprint(sameButID, "")] {
 		t.Error("a different id changes the fingerprint")
 	}
 }
--- a/lentilward/web/key_test.go
+++ b/lentilward/web/key_test.go
@@ -88,7 +88,7 @@
 	s, frontend := newTestServer(t, seen.serve)
 	withTenants(s, map[string]*domain.Tenant{"k1": {Name: "one"}, "k2": {Name: "two"}})
 	// What is admitted is what is sent to servers and gatherers, in all attempts.
-	s.IsPoison = func(r *domain.Request) bool {
+	s.IsPoison = func(r *domain.Request, _ string) bool {
 		if r.Keys != nil || r.Header["X-Api-Key"] != nil {
 			t.Errorf("admitted with keys %x and headers %v", r.Keys, r.Header)
 		}
@@ -286,7 +286,7 @@
 	for _, key := range []string{"", "k1", "k2"} {
 		r := httptest.NewRequest(http.MethodGet, "http://h/a/", nil)
 		r.Header.Set("X-Api-Key", key)
-		fingerprints[suspect.RequestFingerprint(platform.DecodeRequest(r))] = true
+		fingerprints[suspect.RequestFingerprint(platform.DecodeRequest(r), "")] = true
 	}
 	if len(fingerprints) != 1 {
 		t.Errorf("%d fingerprints of one request with different keys", len(fingerprints))
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -67,11 +67,12 @@
 	// ConfigurationAge returns how long ago the configuration in force was last
 	// confirmed to be the newest.
 	ConfigurationAge func() time.Duration
-	// IsPoison reports whether a request is known to crash backend servers.
-	// RecordServersLost records for how many backend servers the connection was
-	// lost during a request that failed.
-	IsPoison          func(*domain.Request) bool
-	RecordServersLost func(r *domain.Request, servers int)
+	// IsPoison reports whether a request of a tenant, or of none if that is empty, is known
+	// to crash backend servers. StartTrial asks whether it may run once nevertheless, until
+	// the deadline. If so, end must be called with whether it may have run; else end is nil,
+	// and the request may be sent again after a time.
+	IsPoison   func(r *domain.Request, tenant string) bool
+	StartTrial func(ctx context.Context, r *domain.Request, tenant string, deadline time.Time) (end func(ran bool), retryAfter time.Duration)
 	// Allow reports whether a tenant may send a request, and otherwise when it may. nil
 	// allows all.
 	Allow func(ctx context.Context, tenant *domain.Tenant) (retryAfter time.Duration, ok bool)
@@ -100,7 +101,8 @@
 		format: format, directory: d, engine: e, log: log,
 		IsConfigurationCurrent: func() bool { return true }, ConfigurationAge: func() time.Duration { return 0 }, OnRequestEnd: func(RequestResult) {},
 		AdmitsKeys: func() bool { return true },
-		IsPoison:   func(*domain.Request) bool { return false }, RecordServersLost: func(*domain.Request, int) {},
+		IsPoison:   func(*domain.Request, string) bool { return false },
+		StartTrial: func(context.Context, *domain.Request, string, time.Time) (func(bool), time.Duration) { return nil, 0 },
 	}
 }
 
@@ -204,7 +206,7 @@
 	}
 	attributes := []any{
 		"request-id", request.ID, "route", result.Route, "status", status, "took", result.Duration, "calls", result.Stats.Calls,
-		"hedges", result.Stats.Hedges, "repeats", result.Stats.Retries, "waited", result.Stats.Queued, "delegated", result.Stats.Delegated,
+		"hedges", result.Stats.Hedges, "repeats", result.Stats.Retries, "lost", result.Stats.ConnectionsLost, "waited", result.Stats.Queued, "delegated", result.Stats.Delegated,
 		"holders", result.Stats.HoldersAsked, "missing", result.Stats.Missing, "transit", result.Transit,
 	}
 	attributes = append(attributes, keyAttributes(request, result)...)
@@ -238,22 +240,34 @@
 		return nil, RequestResult{Duration: time.Since(arrived.at), Refusal: refusal}
 	}
 	result := RequestResult{Route: task.Route.Name, Tenant: task.Tenant}
-	if s.IsPoison(request) {
-		result.Duration, result.Refusal = time.Since(arrived.at), &domain.Refusal{
-			Reason: domain.Poison, Outcome: domain.Unknown,
-			Message: "connections to backend servers were lost during earlier runs of this request",
+	endTrial := func(bool) {}
+	if tenant := task.TenantName(); s.IsPoison(request, tenant) {
+		end, retryAfter := s.StartTrial(r.Context(), request, tenant, task.Deadline())
+		if end == nil {
+			result.Duration, result.Refusal = time.Since(arrived.at), refusePoison(retryAfter, time.Until(task.Deadline()))
+			return nil, result
 		}
-		return nil, result
+		task.Trial, endTrial = true, end
 	}
 	task.Hold = replies
 	answer, stats, refusal := s.engine.Run(r.Context(), *task)
-	if refusal != nil && stats.ConnectionsLost > 0 {
-		s.RecordServersLost(request, stats.ConnectionsLost)
-	}
+	endTrial(refusal == nil || refusal.Outcome != domain.NotRun)
 	result.Duration, result.Stats, result.Refusal, result.Transit = time.Since(arrived.at), stats, refusal, task.Transit
 	return answer, result
 }
 
+// refusePoison refuses a request during whose earlier runs servers were lost. If it may run
+// again before the caller's deadline, the refusal says when.
+func refusePoison(retryAfter, timeLeft time.Duration) *domain.Refusal {
+	refusal := &domain.Refusal{
+		Reason: domain.Poison, Outcome: domain.Unknown, Message: "connections to backend servers were lost during earlier runs of this request",
+	}
+	if retryAfter > 0 && retryAfter < timeLeft {
+		refusal.Outcome, refusal.RetryAfter = domain.NotRun, retryAfter
+	}
+	return refusal
+}
+
 // admit validates a request, reads its body and selects its route and services. The key is
 // checked on arrival and again when the body has come.
 // The task refers to one snapshot of the configuration until the request ends.
--- a/lentilward/web/server_test.go
+++ b/lentilward/web/server_test.go
@@ -1,6 +1,7 @@
 package web
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,6 +19,7 @@
 	"lentilward.org/lentilward/directory"
 	"lentilward.org/lentilward/memory"
 	"lentilward.org/lentilward/scatter"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/platform"
 	"lentilward.org/schema/domain"
 )
@@ -162,8 +164,8 @@
 		runs.Add(1)
 		panic(http.ErrAbortHandler)
 	})
-	s.RecordServersLost = func(_ *domain.Request, servers int) { lost.Add(int32(servers)) }
-	s.IsPoison = func(*domain.Request) bool { return lost.Load() >= 3 }
+	s.engine.OnLost = func(suspect.Run) { lost.Add(1) }
+	s.IsPoison = func(*domain.Request, string) bool { return lost.Load() >= 3 }
 	for i := range 6 {
 		if got := sendRequest(t, frontend, "GET", "/a/", fmt.Sprint(i), "").StatusCode; got != 502 {
 			t.Fatalf("status %d", got)
@@ -174,6 +176,55 @@
 	}
 }
 
+// Guards against a refused request that is not told when it may come again, against a trial
+// that calls more than one server, and against one that is not ended.
+func TestRefusedRequestRunsAsTrial(t *testing.T) {
+	var runs atomic.Int32
+	s, frontend := newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if r.URL.Path == "/a/good" {
+			echoRequest(w, r)
+			return
+		}
+		panic(http.ErrAbortHandler)
+	})
+	s.directory.Current.Load().Configuration.Routes["h"][0].MaxAttempts = 3
+	s.IsPoison = func(*domain.Request, string) bool { return true }
+	granted, retryAfter := false, time.Duration(0)
+	var ended []bool
+	s.StartTrial = func(context.Context, *domain.Request, string, time.Time) (func(bool), time.Duration) {
+		if !granted {
+			return nil, retryAfter
+		}
+		return func(ran bool) { ended = append(ended, ran) }, 0
+	}
+	for _, c := range []struct {
+		target     string
+		granted    bool
+		retryAfter time.Duration
+		status     int
+		header     string
+	}{
+		{"/a/good", false, time.Second, http.StatusServiceUnavailable, "1.000"},
+		{"/a/good", false, time.Hour, http.StatusBadGateway, ""},
+		{"/a/bad", true, 0, http.StatusBadGateway, ""},
+		{"/a/good", true, 0, http.StatusOK, ""},
+	} {
+		granted, retryAfter = c.granted, c.retryAfter
+		before := runs.Load()
+		got := sendRequest(t, frontend, "GET", c.target, "q", "")
+		if got.StatusCode != c.status || got.Header.Get("Retry-After") != c.header {
+			t.Errorf("%+v: status %d, Retry-After %q", c, got.StatusCode, got.Header.Get("Retry-After"))
+		}
+		if ran := runs.Load() - before; ran > 1 || (ran == 1) != c.granted {
+			t.Errorf("%+v: ran %d times", c, ran)
+		}
+	}
+	if len(ended) != 2 || !ended[0] || !ended[1] {
+		t.Errorf("trials ended with %v", ended)
+	}
+}
+
 // Guards against an answer that looks whole from a server that closed its connection
 // in the middle of the head of its reply.
 func TestReplyThatStopsInItsHeadIsNoSuccess(t *testing.T) {
--- a/lentilward/wire.go
+++ b/lentilward/wire.go
@@ -109,7 +109,7 @@
 func provideServers(i do.Injector) {
 	do.Provide(i, func(do.Injector) (*monitor.Metrics, error) { return monitor.NewMetrics(), nil })
 	do.Provide(i, func(i do.Injector) (*suspect.List, error) {
-		return suspect.New(do.MustInvoke[*blackboard.Board](i)), nil
+		return suspect.New(do.MustInvoke[*blackboard.Board](i), suspect.MaxCrashes), nil
 	})
 	do.Provide(i, func(i do.Injector) (*caller.Server, error) {
 		return caller.New(do.MustInvoke[*blackboard.Board](i), do.MustInvoke[*backend.Runner](i),
