Weigh what speaks against a refused request before its first trial

What callers saw: nothing yet; a check of the model did.

Cause: an instance that was cut off granted a trial to itself, and after a start of all instances the trials that the store had not recorded were granted again. Besides, a request that came once, but was in flight on three servers as they were lost, waited for 10 s.

Change: an instance that has not heard of most others lately waits longer, and so does a request that lost one server after another, or whose record comes from the store. A request that came once only is tried at once, as it was sent once more before the trials. The check names the late runs now.

--- a/lentilward/blackboard/suspects.go
+++ b/lentilward/blackboard/suspects.go
@@ -22,9 +22,10 @@
 
 // LostServer is a server process that was lost while it ran a request.
 type LostServer struct {
-	// Process identifies the process on all instances.
-	Process uint64
-	At      time.Time
+	// Process identifies the process on all instances, and Request the request of a caller
+	// with which it was lost.
+	Process, Request uint64
+	At               time.Time
 }
 
 // IsRefused reports whether the request is refused but for trials.
--- a/lentilward/caller/canary.go
+++ b/lentilward/caller/canary.go
@@ -85,10 +85,12 @@
 	return nil
 }
 
-// recordLoss records that a server was lost while it ran a query.
+// recordLoss records that a server was lost while it ran a query. Each loss counts as one of
+// another request, since the server ran it alone.
 func (s *Server) recordLoss(ctx context.Context, req *backend.Request) {
-	loss := xxhash.Sum64String(s.board.LocalInstance.Load().Name + "\x00" + req.ID + "\x00" + time.Now().String())
-	s.suspects.RecordLoss(ctx, suspect.QueryFingerprint(req.Query), loss, time.Now())
+	now := time.Now()
+	loss := s.board.LocalInstance.Load().Name + "\x00" + req.ID + "\x00" + now.String()
+	s.suspects.RecordLoss(ctx, suspect.QueryFingerprint(req.Query), xxhash.Sum64String(loss), loss, now)
 }
 
 // poisonRefusal returns the refusal of a query during which backend servers
--- a/lentilward/fleet_bounds_test.go
+++ b/lentilward/fleet_bounds_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -85,7 +86,7 @@
 	// more than maxSpreadDelay after that, on instances that had been connected
 	// to the others for as long.
 	thirdCrash time.Time
-	lateRuns   int
+	lateRuns   []string
 }
 
 // maxSpreadDelay bounds the time in which connected instances must inform each
@@ -115,7 +116,7 @@
 			p.thirdCrash = time.Now()
 		}
 		if !p.thirdCrash.IsZero() && time.Since(p.thirdCrash) > maxSpreadDelay && n.isConnected() {
-			p.lateRuns++
+			p.lateRuns = append(p.lateRuns, fmt.Sprintf("%s at %s, trial %v: %+v", time.Now().Format("05.000"), n.name, servers == 1, g.suspects.Find(suspect.RequestFingerprint(p.request, ""))))
 		}
 	}
 }
@@ -124,7 +125,7 @@
 func (p *poisonRequest) crash(g *Gateway, servers int) {
 	for range servers {
 		p.crashes++
-		g.suspects.RecordLoss(context.Background(), suspect.RequestFingerprint(p.request, ""), uint64(p.crashes), time.Now())
+		g.suspects.RecordLoss(context.Background(), suspect.RequestFingerprint(p.request, ""), uint64(p.crashes), strconv.Itoa(p.crashes), time.Now())
 	}
 }
 
@@ -133,8 +134,8 @@
 const maxLateRuns = 3
 
 func (p *poisonRequest) check() error {
-	if p.lateRuns > maxLateRuns {
-		return fmt.Errorf("a poison request ran %d times after all connected instances should refuse it", p.lateRuns)
+	if len(p.lateRuns) > maxLateRuns {
+		return fmt.Errorf("a poison request ran %d times after all connected instances should refuse it:\n%s", len(p.lateRuns), strings.Join(p.lateRuns, "\n"))
 	}
 	return nil
 }
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -197,7 +197,7 @@
 	}
 	g.crashes = suspect.NewWatch(g.log)
 	g.crashes.OnLoss = func(r suspect.Run, at time.Time) {
-		g.suspects.RecordLoss(context.Background(), r.Fingerprint, r.Server.Process, at)
+		g.suspects.RecordLoss(context.Background(), r.Fingerprint, r.Server.Process, r.RequestID, at)
 	}
 	g.trials = &trials{board: g.board, suspects: g.suspects, log: g.log, started: time.Now(), ask: g.links.AskTrial, tell: g.links.EndTrial}
 	g.peers.MergeSuspects = g.suspects.Merge
--- a/lentilward/suspect/persister_test.go
+++ b/lentilward/suspect/persister_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"testing"
 	"testing/synctest"
@@ -32,7 +33,7 @@
 		a, _ := newConnectedLists()
 		a.Persist = p.Enqueue
 		for process := range uint64(6) {
-			a.RecordLoss(ctx, 7, process, time.Now())
+			a.RecordLoss(ctx, 7, process, fmt.Sprint(process), time.Now())
 		}
 		time.Sleep(time.Minute)
 		cancel()
--- a/lentilward/suspect/report.go
+++ b/lentilward/suspect/report.go
@@ -25,6 +25,7 @@
 // LostReport is a lost server in a Report.
 type LostReport struct {
 	Process uint64        `cbor:"process"`
+	Request uint64        `cbor:"request"`
 	Age     time.Duration `cbor:"age"`
 }
 
@@ -34,7 +35,7 @@
 		Trials: r.Trials, Trial: ageOf(r.TrialAt, now),
 	}
 	for _, l := range r.Lost {
-		report.Lost = append(report.Lost, LostReport{l.Process, ageOf(l.At, now)})
+		report.Lost = append(report.Lost, LostReport{l.Process, l.Request, ageOf(l.At, now)})
 	}
 	return report
 }
@@ -45,7 +46,7 @@
 		Trials: r.Trials, TrialAt: timeOf(r.Trial, now),
 	}
 	for _, l := range r.Lost {
-		request.Lost = append(request.Lost, blackboard.LostServer{Process: l.Process, At: timeOf(max(1, l.Age), now)})
+		request.Lost = append(request.Lost, blackboard.LostServer{Process: l.Process, Request: l.Request, At: timeOf(max(1, l.Age), now)})
 	}
 	return request
 }
--- a/lentilward/suspect/suspect.go
+++ b/lentilward/suspect/suspect.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentilward.org/lentilward/blackboard"
 )
 
@@ -65,14 +67,16 @@
 }
 
 // RecordLoss records that a server process was lost at a time while it ran a request, and
-// tells the peers. A request that has run well since then is not suspect.
-func (s *List) RecordLoss(ctx context.Context, fingerprint, process uint64, at time.Time) {
+// tells the peers. requestID identifies the request among those with the same fingerprint.
+// A request that has run well since then is not suspect.
+func (s *List) RecordLoss(ctx context.Context, fingerprint, process uint64, requestID string, at time.Time) {
 	ranAt := s.ran.find(fingerprint)
 	if !at.After(ranAt) {
 		return
 	}
 	update := blackboard.SuspectRequest{
-		Fingerprint: fingerprint, Lost: []blackboard.LostServer{{Process: process, At: at}}, Proven: !ranAt.IsZero(),
+		Fingerprint: fingerprint, Proven: !ranAt.IsZero(),
+		Lost: []blackboard.LostServer{{Process: process, Request: xxhash.Sum64String(requestID), At: at}},
 	}
 	s.mu.Lock()
 	s.recorded[fingerprint] = true
@@ -164,12 +168,16 @@
 }
 
 // MergeStored merges the record of a refused request from the store. It says nothing of
-// its age, so that it counts only for requests of which nothing else is known.
+// its age, so that it counts only for requests of which nothing else is known. A trial
+// may have run that the store could not record.
 func (s *List) MergeStored(fingerprint uint64, proven bool, trials int) {
 	if _, found := s.board.Suspects.Load().ByFingerprint[fingerprint]; found {
 		return
 	}
 	now := time.Now()
+	if !proven {
+		trials = max(1, trials)
+	}
 	update := blackboard.SuspectRequest{Fingerprint: fingerprint, Proven: proven, RefusedAt: now, Trials: trials}
 	if trials > 0 {
 		update.TrialAt = now
--- a/lentilward/suspect/suspect_test.go
+++ b/lentilward/suspect/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,12 +33,12 @@
 func TestPoisonRequestIsRefusedAtEveryInstance(t *testing.T) {
 	a, b := newConnectedLists()
 	fingerprint := RequestFingerprint(&domain.Request{Method: "GET", Host: "h", Target: "/x"}, "")
-	a.RecordLoss(t.Context(), fingerprint, 1, time.Now())
-	a.RecordLoss(t.Context(), fingerprint, 2, time.Now())
+	a.RecordLoss(t.Context(), fingerprint, 1, fmt.Sprint(1), time.Now())
+	a.RecordLoss(t.Context(), fingerprint, 2, fmt.Sprint(2), time.Now())
 	if a.IsRefused(fingerprint) || b.IsRefused(fingerprint) {
 		t.Fatal("refused after two lost servers")
 	}
-	b.RecordLoss(t.Context(), fingerprint, 3, time.Now())
+	b.RecordLoss(t.Context(), fingerprint, 3, fmt.Sprint(3), time.Now())
 	if !a.IsRefused(fingerprint) || !b.IsRefused(fingerprint) {
 		t.Fatal("not refused after three lost servers")
 	}
@@ -63,7 +64,7 @@
 			}
 		}
 		for i, l := range lists {
-			l.RecordLoss(t.Context(), 7, uint64(i), time.Now())
+			l.RecordLoss(t.Context(), 7, uint64(i), fmt.Sprint(uint64(i)), time.Now())
 		}
 		time.Sleep(10 * time.Millisecond)
 		for i, l := range lists {
@@ -79,8 +80,8 @@
 func TestOneLostServerCountsOnce(t *testing.T) {
 	a, b := newConnectedLists()
 	for range 3 {
-		a.RecordLoss(t.Context(), 7, 1, time.Now())
-		b.RecordLoss(t.Context(), 7, 1, time.Now())
+		a.RecordLoss(t.Context(), 7, 1, fmt.Sprint(1), time.Now())
+		b.RecordLoss(t.Context(), 7, 1, fmt.Sprint(1), time.Now())
 	}
 	if a.IsRefused(7) || b.IsRefused(7) {
 		t.Fatal("refused after one lost server")
@@ -94,7 +95,7 @@
 		a, b := newConnectedLists()
 		for process := range uint64(8) {
 			for _, l := range []*List{a, b} {
-				l.RecordLoss(t.Context(), 7, process, time.Now())
+				l.RecordLoss(t.Context(), 7, process, fmt.Sprint(process), time.Now())
 			}
 			time.Sleep(time.Millisecond)
 			[]*List{a, b}[process%2].RecordRun(t.Context(), 7)
@@ -115,7 +116,7 @@
 		time.Sleep(20 * time.Millisecond)
 		b.RecordRun(t.Context(), 7)
 		for process := range uint64(4) {
-			a.RecordLoss(t.Context(), 7, process, lostAt)
+			a.RecordLoss(t.Context(), 7, process, fmt.Sprint(process), lostAt)
 		}
 		if a.IsRefused(7) || b.IsRefused(7) {
 			t.Fatal("refused although it has run well on another instance since")
@@ -128,7 +129,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a, _ := newConnectedLists()
 		for process := range uint64(9) {
-			a.RecordLoss(t.Context(), 7, process, time.Now())
+			a.RecordLoss(t.Context(), 7, process, fmt.Sprint(process), time.Now())
 			time.Sleep(suspectTTL/2 + time.Second)
 		}
 		if a.IsRefused(7) {
@@ -141,10 +142,10 @@
 func TestOldestSuspectMakesRoom(t *testing.T) {
 	a := newList()
 	for fingerprint := range uint64(maxSuspects + 10) {
-		a.RecordLoss(t.Context(), fingerprint, 1, time.Now())
+		a.RecordLoss(t.Context(), fingerprint, 1, fmt.Sprint(1), time.Now())
 	}
 	for process := range uint64(MaxRequestCrashes) {
-		a.RecordLoss(t.Context(), 1<<40, process, time.Now())
+		a.RecordLoss(t.Context(), 1<<40, process, fmt.Sprint(process), time.Now())
 	}
 	if suspects := a.board.Suspects.Load(); !a.IsRefused(1<<40) || len(suspects.ByFingerprint) > maxSuspects {
 		t.Fatalf("refused: %v, with %d suspects", a.IsRefused(1<<40), len(suspects.ByFingerprint))
--- a/lentilward/suspect/trial.go
+++ b/lentilward/suspect/trial.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
 )
 
 // trialDelays are the delays after which a refused request may run as a trial: the first
-// after it was refused, the next ones after the latest trial. The last one repeats. The
-// first is left out for a request that is not known to have run well before.
+// after it was refused, the next ones after the latest trial. The last one repeats. The more
+// speaks against a request that has not run well before, the more of the first are left out.
 var trialDelays = []time.Duration{0, 10 * time.Second, time.Minute, 10 * time.Minute, time.Hour}
 
+// momentLength is the time within which servers are lost that one event has ended.
+const momentLength = time.Second
+
 // trialRetryDelay is when to ask again while another trial runs.
 const trialRetryDelay = 250 * time.Millisecond
 
@@ -23,8 +27,9 @@
 }
 
 // GrantTrial decides whether a refused request may run as a trial of at most the length
-// given. Only one instance decides about a request, so that one trial runs at a time.
-func (s *List) GrantTrial(ctx context.Context, known Report, length time.Duration) Grant {
+// given. Only one instance decides about a request, so that one trial runs at a time. An
+// instance that is isolated may be one of several, and waits for longer.
+func (s *List) GrantTrial(ctx context.Context, known Report, length time.Duration, isolated bool) Grant {
 	s.Merge([]Report{known})
 	now := time.Now()
 	s.mu.Lock()
@@ -43,7 +48,7 @@
 	if !request.IsRefused() {
 		return Grant{Granted: true}
 	}
-	if wait := trialDueAt(request).Sub(now); wait > 0 {
+	if wait := trialDueAt(request, isolated).Sub(now); wait > 0 {
 		return Grant{RetryAfter: wait}
 	}
 	s.mu.Lock()
@@ -72,10 +77,28 @@
 }
 
 // trialDueAt returns when the next trial of a refused request may run.
-func trialDueAt(r blackboard.SuspectRequest) time.Time {
+func trialDueAt(r blackboard.SuspectRequest, isolated bool) time.Time {
 	n := r.Trials
-	if !r.Proven {
+	if isolated {
+		n++
+	}
+	if !r.Proven && !hasComeOnce(r) {
+		n++
+	}
+	if !r.Proven && !isOneMoment(r) {
 		n++
 	}
 	return later(r.RefusedAt, r.TrialAt).Add(trialDelays[min(n, len(trialDelays)-1)])
 }
+
+// hasComeOnce reports whether all servers were lost with a single request of a caller, which
+// may have been in flight on them when they were lost for another reason.
+func hasComeOnce(r blackboard.SuspectRequest) bool {
+	return len(r.Lost) > 0 && !slices.ContainsFunc(r.Lost, func(l blackboard.LostServer) bool { return l.Request != r.Lost[0].Request })
+}
+
+// isOneMoment reports whether all servers for which the request was refused were lost at about
+// the same time, as in an event that ends all of them.
+func isOneMoment(r blackboard.SuspectRequest) bool {
+	return len(r.Lost) == 0 || r.RefusedAt.Sub(r.Lost[0].At) < momentLength
+}
--- a/lentilward/trials.go
+++ b/lentilward/trials.go
@@ -48,7 +48,7 @@
 	var grant suspect.Grant
 	if !found || home.Name == members.Self {
 		home.Address = netip.AddrPort{}
-		grant = t.suspects.GrantTrial(ctx, known, length)
+		grant = t.suspects.GrantTrial(ctx, known, length, !members.HasMajority)
 	} else {
 		askContext, cancel := context.WithTimeout(ctx, trialQuestionTimeout)
 		defer cancel()
@@ -69,7 +69,7 @@
 	if left := discoveryPeriod - time.Since(t.started); left > 0 {
 		return suspect.Grant{RetryAfter: left}
 	}
-	return t.suspects.GrantTrial(context.WithoutCancel(ctx), known, length)
+	return t.suspects.GrantTrial(context.WithoutCancel(ctx), known, length, !t.board.Members.Load().HasMajority)
 }
 
 // end ends a trial that the instance at home has granted, or this one if home is not valid.
