Keep no request in memory while its servers are watched

Cause: what is watched after a run was given up kept the whole run, and with it the request's body, for up to ten seconds; 64 runs a server of a megabyte each are more than an instance has. Found by reading.

Change: only the flag that the request was answered is kept. The ends of calls use the clock reading that was made for their results, and the time of the last reply is that of the release of its connection, so that a call reads the clock as often as before.

--- a/lentilward/caller/canary.go
+++ b/lentilward/caller/canary.go
@@ -76,7 +76,7 @@
 		}
 		result := s.runner.Run(ctx, canaryRequest, backend.Task{Routes: r, Version: r.PinnedVersion, Shard: uint32(shard)})
 		if canaryRequest.Replied() > 0 {
-			s.suspects.RecordRun(ctx, suspect.QueryFingerprint(req.Query))
+			s.suspects.RecordRun(ctx, suspect.QueryFingerprint(req.Query), time.Now())
 		}
 		req.AddCalls(canaryRequest)
 		return &canary{service: r.Service.Name, version: r.PinnedVersion.Version, result: result, lostCalls: canaryRequest.LostCalls()}
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -161,7 +161,7 @@
 	}
 	results := s.searchServices(ctx, req, services, c)
 	if req.Replied() > 0 {
-		s.suspects.RecordRun(ctx, suspect.QueryFingerprint(req.Query))
+		s.suspects.RecordRun(ctx, suspect.QueryFingerprint(req.Query), time.Now())
 	} else if req.LostCalls() > suspect.MaxCrashes {
 		s.recordLoss(ctx, req)
 	}
--- a/lentilward/conn/alive.go
+++ b/lentilward/conn/alive.go
@@ -16,11 +16,11 @@
 // has replied since, or a connection that was open then still is. false means that this is
 // not known.
 func (p *Pool) IsAliveSince(at time.Time) bool {
-	if last := p.lastReply.Load(); last != 0 && last > int64(at.Add(replySkew).Sub(poolEpoch)) {
-		return true
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.lastReply.After(at.Add(replySkew)) {
+		return true
+	}
 	for _, c := range p.idle {
 		if c.openedAt.Before(at) && c.isHealthy() {
 			return true
--- a/lentilward/conn/pool.go
+++ b/lentilward/conn/pool.go
@@ -71,11 +71,11 @@
 	dialAfter atomic.Int64
 	idleCount atomic.Int32
 	resets    int
-	// lastReply is when a call last got a reply, in nanoseconds since poolEpoch; 0 if none has.
-	lastReply atomic.Int64
+	// lastReply is when a connection was last released after a reply.
+	lastReply time.Time
 }
 
-// poolEpoch is the reference time of Pool.dialAfter and Pool.lastReply.
+// poolEpoch is the reference time of Pool.dialAfter.
 var poolEpoch = time.Now()
 
 // CanConnect reports whether a call would get a connection: an idle one, or a new one
@@ -106,7 +106,6 @@
 
 // recordReply records that a connection has got a reply.
 func (p *Pool) recordReply() {
-	p.lastReply.Store(int64(time.Since(poolEpoch)))
 	if p.dialAfter.Load() == 0 {
 		return
 	}
@@ -283,6 +282,9 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.lastRequestID != "" {
+		p.lastReply = c.idleSince
+	}
 	if p.closed || p.open > int(p.Limit.Load()) {
 		p.drop(c)
 		return
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -334,7 +334,7 @@
 	g.callers.StartTrial = func(ctx context.Context, r *domain.Request, tenant string, deadline time.Time) (func(bool), time.Duration) {
 		return g.trials.start(ctx, suspect.RequestFingerprint(r, tenant), deadline)
 	}
-	g.engine.OnRan = func(fingerprint uint64) { g.suspects.RecordRun(context.Background(), fingerprint) }
+	g.engine.OnRan = func(fingerprint uint64, at time.Time) { g.suspects.RecordRun(context.Background(), fingerprint, at) }
 	g.engine.OnLost, g.engine.OnGivenUp = g.crashes.Lost, g.crashes.GivenUp
 	g.callers.OnRequestEnd = func(r web.RequestResult) {
 		if r.Refusal != nil {
--- a/lentilward/scatter/call.go
+++ b/lentilward/scatter/call.go
@@ -52,8 +52,9 @@
 	if c.phase.Swap(ended) == overdue {
 		c.server.RemoveOverdueCall()
 	}
-	c.recordResult(reply, err)
-	c.reportEnd(reply, err)
+	now := time.Now()
+	c.recordResult(reply, err, now)
+	c.reportEnd(reply, err, now)
 	if service := c.run.parts[c.partIndex].service; c.sentAt.Load() != nil {
 		service.Release(c.server)
 	} else {
@@ -108,8 +109,7 @@
 }
 
 // recordResult updates the measurements of the server and the route.
-func (c *call) recordResult(reply *domain.Reply, err error) {
-	now := time.Now()
+func (c *call) recordResult(reply *domain.Reply, err error, now time.Time) {
 	if reply != nil && reply.Leaving && c.run.parts[c.partIndex].service.RecordLeaving(c.server) {
 		c.run.engine.OnLeaving(c.server)
 	}
@@ -161,14 +161,14 @@
 
 // reportEnd reports what the end of the call says of whether its request crashes servers,
 // whoever still waits for the reply.
-func (c *call) reportEnd(reply *domain.Reply, err error) {
+func (c *call) reportEnd(reply *domain.Reply, err error, now time.Time) {
 	if c.sentAt.Load() == nil {
 		return
 	}
 	r := c.run
 	if reply != nil && reply.OK() {
 		if !r.hasRun.Swap(true) {
-			r.engine.OnRan(r.fingerprint)
+			r.engine.OnRan(r.fingerprint, now)
 		}
 		return
 	}
@@ -178,12 +178,12 @@
 	ended := suspect.Run{RequestID: r.task.Request.ID, Fingerprint: r.fingerprint, Server: c.server, HasRun: r.hasRun.Load}
 	switch {
 	case conn.IsConnectionLost(err):
-		r.engine.OnLost(ended)
+		r.engine.OnLost(ended, now)
 	case errors.Is(err, conn.ErrReplyTimeout):
 		r.engine.OnGivenUp(ended, r.callDeadline)
 	case errors.Is(err, conn.ErrConnectionReset):
 		// A server resets new connections above its limit as well.
-		r.engine.OnGivenUp(ended, time.Now())
+		r.engine.OnGivenUp(ended, now)
 	}
 }
 
--- a/lentilward/scatter/engine.go
+++ b/lentilward/scatter/engine.go
@@ -45,8 +45,8 @@
 	// each call whose connection was lost, and OnGivenUp with each whose connection this side
 	// has closed, or that the server has reset at once. The server may run the latter until
 	// the deadline.
-	OnRan     func(fingerprint uint64)
-	OnLost    func(suspect.Run)
+	OnRan     func(fingerprint uint64, at time.Time)
+	OnLost    func(r suspect.Run, at time.Time)
 	OnGivenUp func(r suspect.Run, deadline time.Time)
 	// BudgetShare returns this instance's share of the slack of the retry budget
 	// that all instances use together.
@@ -83,7 +83,7 @@
 		OnReset: func(*balance.Server, time.Duration) {}, BudgetShare: func() float64 { return 1 },
 		ChooseGatherer: func(map[string]int) (netip.AddrPort, string, bool) { return netip.AddrPort{}, "", false },
 		PlanHandover:   func(*Task) *Handover { return nil }, HolderShare: func() float64 { return 1 },
-		OnRan: func(uint64) {}, OnLost: func(suspect.Run) {}, OnGivenUp: func(suspect.Run, time.Time) {},
+		OnRan: func(uint64, time.Time) {}, OnLost: func(suspect.Run, time.Time) {}, OnGivenUp: func(suspect.Run, time.Time) {},
 	}
 	e.SetPolicy(Policy{})
 	return e
--- a/lentilward/scatter/run.go
+++ b/lentilward/scatter/run.go
@@ -33,8 +33,9 @@
 	task   Task
 	// fingerprint identifies the request among those that are suspected to crash servers.
 	fingerprint uint64
-	// hasRun is set once a server has answered the request with success.
-	hasRun atomic.Bool
+	// hasRun is set once a server has answered the request with success. It outlives the run,
+	// unlike the request, while servers are watched.
+	hasRun *atomic.Bool
 	// deadline is when the request is given up. From earlyAnswerAt on it is
 	// answered as soon as enough parts have replied.
 	deadline, earlyAnswerAt time.Time
@@ -95,7 +96,8 @@
 func newRun(ctx context.Context, e *Engine, t Task) *run {
 	deadline := t.Deadline()
 	r := &run{
-		engine: e, policy: e.policy.Load(), task: t, fingerprint: suspect.RequestFingerprint(t.Request, t.TenantName()), deadline: deadline.Add(-min(deadlineMargin, deadline.Sub(t.Begin)/deadlineMarginDivisor)),
+		engine: e, policy: e.policy.Load(), task: t, hasRun: new(atomic.Bool),
+		fingerprint: suspect.RequestFingerprint(t.Request, t.TenantName()), deadline: deadline.Add(-min(deadlineMargin, deadline.Sub(t.Begin)/deadlineMarginDivisor)),
 		parts: make([]part, len(t.Services)), pendingParts: len(t.Services),
 		results: make(chan callResult, len(t.Services)*maxCallsPerPart), wokenParts: make(chan int, len(t.Services)),
 		gatherEvents: make(chan gatherEvent, 2*len(t.Services)+6*maxGatherers), slackShare: e.BudgetShare,
--- a/lentilward/suspect/suspect.go
+++ b/lentilward/suspect/suspect.go
@@ -84,11 +84,10 @@
 	s.publish(ctx, update)
 }
 
-// RecordRun records that a server has answered a request with success: it crashes no
-// servers.
-func (s *List) RecordRun(ctx context.Context, fingerprint uint64) {
-	now := time.Now()
-	s.ran.add(fingerprint, now)
+// RecordRun records that a server has answered a request with success at a time: it crashes
+// no servers.
+func (s *List) RecordRun(ctx context.Context, fingerprint uint64, at time.Time) {
+	s.ran.add(fingerprint, at)
 	known, found := s.board.Suspects.Load().ByFingerprint[fingerprint]
 	if !found || len(known.Lost) == 0 && !known.IsRefused() {
 		return
@@ -96,7 +95,7 @@
 	s.mu.Lock()
 	recorded := s.recorded[fingerprint]
 	s.mu.Unlock()
-	update := blackboard.SuspectRequest{Fingerprint: fingerprint, RanAt: now}
+	update := blackboard.SuspectRequest{Fingerprint: fingerprint, RanAt: at}
 	if recorded || known.IsRefused() {
 		s.publish(ctx, update)
 	} else {
--- a/lentilward/suspect/suspect_test.go
+++ b/lentilward/suspect/suspect_test.go
@@ -98,7 +98,7 @@
 				l.RecordLoss(t.Context(), 7, process, fmt.Sprint(process), time.Now())
 			}
 			time.Sleep(time.Millisecond)
-			[]*List{a, b}[process%2].RecordRun(t.Context(), 7)
+			[]*List{a, b}[process%2].RecordRun(t.Context(), 7, time.Now())
 			time.Sleep(time.Second)
 			if a.IsRefused(7) || b.IsRefused(7) {
 				t.Fatalf("refused after %d losses with a run after each", process+1)
@@ -114,7 +114,7 @@
 		a, b := newConnectedLists()
 		lostAt := time.Now()
 		time.Sleep(20 * time.Millisecond)
-		b.RecordRun(t.Context(), 7)
+		b.RecordRun(t.Context(), 7, time.Now())
 		for process := range uint64(4) {
 			a.RecordLoss(t.Context(), 7, process, fmt.Sprint(process), lostAt)
 		}
--- a/lentilward/suspect/trial_test.go
+++ b/lentilward/suspect/trial_test.go
@@ -26,14 +26,14 @@
 func TestProvenRequestGetsATrialAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, b := newConnectedLists()
-		a.RecordRun(t.Context(), 7)
+		a.RecordRun(t.Context(), 7, time.Now())
 		time.Sleep(time.Second)
 		refuse(t, a)
 		if g := a.GrantTrial(t.Context(), b.Find(7), time.Second, false); !g.Granted {
 			t.Fatalf("no trial, but in %v", g.RetryAfter)
 		}
 		time.Sleep(time.Millisecond)
-		b.RecordRun(t.Context(), 7)
+		b.RecordRun(t.Context(), 7, time.Now())
 		if a.IsRefused(7) || b.IsRefused(7) {
 			t.Fatal("refused after a trial that went well")
 		}
@@ -165,7 +165,7 @@
 		a, b := newConnectedLists()
 		refuse(t, a)
 		time.Sleep(time.Second)
-		b.RecordRun(t.Context(), 7)
+		b.RecordRun(t.Context(), 7, time.Now())
 		a.MergeStored(7, false, 2)
 		if a.IsRefused(7) {
 			t.Error("refused by a record from before it has run well")
--- a/lentilward/suspect/watch.go
+++ b/lentilward/suspect/watch.go
@@ -29,7 +29,8 @@
 	RequestID   string
 	Fingerprint uint64
 	Server      *balance.Server
-	// HasRun reports whether another server has answered the request with success.
+	// HasRun reports whether another server has answered the request with success. It must
+	// not keep the request in memory.
 	HasRun func() bool
 }
 
@@ -54,10 +55,9 @@
 	return &Watch{log: log, givenUp: make(map[*balance.Server][]givenUpRun)}
 }
 
-// Lost handles the loss of the connection of a run. It counts as the loss of the server,
+// Lost handles the loss of the connection of a run at a time. It counts as the loss of the server,
 // unless another connection to the server outlives it.
-func (w *Watch) Lost(r Run) {
-	at := time.Now()
+func (w *Watch) Lost(r Run, at time.Time) {
 	time.AfterFunc(lossDelay, func() {
 		if r.Server.Pool.IsAliveSince(at) {
 			w.log.Info("a connection was lost, but not the server", "request-id", r.RequestID, "server", r.Server.ID)
--- a/lentilward/web/server_test.go
+++ b/lentilward/web/server_test.go
@@ -164,7 +164,7 @@
 		runs.Add(1)
 		panic(http.ErrAbortHandler)
 	})
-	s.engine.OnLost = func(suspect.Run) { lost.Add(1) }
+	s.engine.OnLost = func(suspect.Run, time.Time) { lost.Add(1) }
 	s.IsPoison = func(*domain.Request, string) bool { return lost.Load() >= 3 }
 	for i := range 6 {
 		if got := sendRequest(t, frontend, "GET", "/a/", fmt.Sprint(i), "").StatusCode; got != 502 {
