Store a refusal to which several instances have contributed

Cause: each of four instances that lose one server to copies of a request learns from messages that there are three or more, and only an instance whose own loss was the third stored the refusal, so that a start of all instances forgot it. Besides, what is asked of the home of a request that was forgotten meanwhile named no request. Both found by reading.

Change: each instance that has recorded a loss stores the refusal when it learns of it. A report names its request in any case.

Evidence: TestLossesAtOneMomentAddUp asks for a stored record now; it failed before ("the refusal would be forgotten after a start of all instances").

--- a/lentilward/suspect/suspect.go
+++ b/lentilward/suspect/suspect.go
@@ -103,12 +103,12 @@
 	}
 }
 
-// publish applies an update, tells the peers what is known of the request and stores it if
-// it is newly refused or no longer is.
+// publish applies an update, tells the peers what is known of the request, and stores that
+// it is not refused any more or has had another trial.
 func (s *List) publish(ctx context.Context, update blackboard.SuspectRequest) {
 	before, after := s.apply(update)
 	s.Broadcast(ctx, []Report{newReport(after, time.Now())})
-	if before.IsRefused() != after.IsRefused() || before.Trials != after.Trials {
+	if before.IsRefused() && (!after.IsRefused() || before.Trials != after.Trials) {
 		s.Persist(after)
 	}
 }
@@ -125,7 +125,9 @@
 
 // Find returns what is known of a request.
 func (s *List) Find(fingerprint uint64) Report {
-	return newReport(s.board.Suspects.Load().ByFingerprint[fingerprint], time.Now())
+	known := s.board.Suspects.Load().ByFingerprint[fingerprint]
+	known.Fingerprint = fingerprint
+	return newReport(known, time.Now())
 }
 
 // IsRefused reports whether a request is refused but for trials.
@@ -204,26 +206,23 @@
 		next = make(map[uint64]blackboard.SuspectRequest)
 	}
 	maps.DeleteFunc(next, func(_ uint64, r blackboard.SuspectRequest) bool { return isExpired(r, now) })
-	var changed []blackboard.SuspectRequest
+	var changed, refused []blackboard.SuspectRequest
 	for _, update := range updates {
-		known, found := next[update.Fingerprint]
-		if !found && len(next) >= maxSuspects && !dropOldest(next) {
+		known, merged, ok := s.mergeUpdate(next, update, now)
+		if !ok {
 			continue
 		}
-		known.Lost = slices.DeleteFunc(slices.Clone(known.Lost), func(l blackboard.LostServer) bool {
-			return !known.IsRefused() && now.Sub(l.At) > suspectTTL
-		})
-		merged := merge(known, update)
-		if merged.RefusedAt.IsZero() && len(merged.Lost) >= s.maxLost {
-			merged.RefusedAt = merged.Lost[s.maxLost-1].At
+		if merged.IsRefused() != known.IsRefused() || merged.Trials != known.Trials {
+			changed = append(changed, merged)
+		}
+		// Which of several instances sees the last of the losses depends on their messages,
+		// so each that has seen any stores the refusal.
+		if s.recorded[update.Fingerprint] && merged.IsRefused() && !known.IsRefused() {
+			refused = append(refused, merged)
 		}
-		next[update.Fingerprint] = merged
 		if len(merged.Lost) == 0 {
 			delete(s.recorded, update.Fingerprint)
 		}
-		if merged.IsRefused() != known.IsRefused() || merged.Trials != known.Trials {
-			changed = append(changed, merged)
-		}
 	}
 	maps.DeleteFunc(s.recorded, func(fingerprint uint64, _ bool) bool { _, found := next[fingerprint]; return !found })
 	s.board.Suspects.Store(countSuspects(next))
@@ -231,6 +230,27 @@
 	for _, r := range changed {
 		s.OnChange(r)
 	}
+	for _, r := range refused {
+		s.Persist(r)
+	}
+}
+
+// mergeUpdate merges an update into requests, and returns what was known of the request and
+// what is known now. ok is false if there is no room for it.
+func (s *List) mergeUpdate(requests map[uint64]blackboard.SuspectRequest, update blackboard.SuspectRequest, now time.Time) (known, merged blackboard.SuspectRequest, ok bool) {
+	known, found := requests[update.Fingerprint]
+	if !found && len(requests) >= maxSuspects && !dropOldest(requests) {
+		return known, known, false
+	}
+	if !known.IsRefused() {
+		known.Lost = slices.DeleteFunc(slices.Clone(known.Lost), func(l blackboard.LostServer) bool { return now.Sub(l.At) > suspectTTL })
+	}
+	merged = merge(known, update)
+	if merged.RefusedAt.IsZero() && len(merged.Lost) >= s.maxLost {
+		merged.RefusedAt = merged.Lost[s.maxLost-1].At
+	}
+	requests[update.Fingerprint] = merged
+	return known, merged, true
 }
 
 func countSuspects(byFingerprint map[uint64]blackboard.SuspectRequest) *blackboard.SuspectRequests {
--- a/lentilward/suspect/suspect_test.go
+++ b/lentilward/suspect/suspect_test.go
@@ -63,10 +63,15 @@
 				})
 			}
 		}
+		persisted := 0
 		for i, l := range lists {
+			l.Persist = func(blackboard.SuspectRequest) { persisted++ }
 			l.RecordLoss(t.Context(), 7, uint64(i), fmt.Sprint(uint64(i)), time.Now())
 		}
 		time.Sleep(10 * time.Millisecond)
+		if persisted == 0 {
+			t.Error("the refusal would be forgotten after a start of all instances")
+		}
 		for i, l := range lists {
 			if !l.IsRefused(7) {
 				t.Errorf("instance %d does not refuse a request that has crashed four servers at once", i)
