--- a/lentilward/suspect/watch.go
+++ b/lentilward/suspect/watch.go
@@ -55,7 +55,7 @@
 	return &Watch{log: log, givenUp: make(map[*balance.Server][]givenUpRun)}
 }
 
-// Lost handles the loss of the connection of a run at a time. It counts as the loss of the server,
+// Lost handles the loss of the connection of a run. It counts as the loss of the server,
 // unless another connection to the server outlives it.
 func (w *Watch) Lost(r Run, at time.Time) {
 	time.AfterFunc(lossDelay, func() {
