--- a/lentilward/suspect/suspect_test.go
+++ b/lentilward/suspect/suspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,8 +50,11 @@
 func TestLossesAtOneMomentAddUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var lists []*List
+		var persisted atomic.Int32
 		for range 4 {
-			lists = append(lists, newList())
+			l := newList()
+			l.Persist = func(blackboard.SuspectRequest) { persisted.Add(1) }
+			lists = append(lists, l)
 		}
 		for i, l := range lists {
 			l.Broadcast = func(_ context.Context, r []Report) {
@@ -63,13 +67,11 @@
 				})
 			}
 		}
-		persisted := 0
 		for i, l := range lists {
-			l.Persist = func(blackboard.SuspectRequest) { persisted++ }
 			l.RecordLoss(t.Context(), 7, uint64(i), fmt.Sprint(uint64(i)), time.Now())
 		}
 		time.Sleep(10 * time.Millisecond)
-		if persisted == 0 {
+		if persisted.Load() == 0 {
 			t.Error("the refusal would be forgotten after a start of all instances")
 		}
 		for i, l := range lists {
@@ -146,9 +148,11 @@
 // Guards against suspects that keep a request which crashes servers from being recorded.
 func TestOldestSuspectMakesRoom(t *testing.T) {
 	a := newList()
+	var reports []Report
 	for fingerprint := range uint64(maxSuspects + 10) {
-		a.RecordLoss(t.Context(), fingerprint, 1, fmt.Sprint(1), time.Now())
+		reports = append(reports, Report{Fingerprint: fingerprint, Lost: []LostReport{{Process: 1, Age: time.Second}}})
 	}
+	a.Merge(reports)
 	for process := range uint64(MaxRequestCrashes) {
 		a.RecordLoss(t.Context(), 1<<40, process, fmt.Sprint(process), time.Now())
 	}
