Move what concerns crashing requests out of gateway.go

The functions that connect the list of suspects, the watch and the trials stand in gateway_suspects.go now; nothing else changes.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"runtime/debug"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,34 +180,6 @@
 		func() float64 { return float64(g.fleet.size()) })
 }
 
-// connectSuspects connects the components that find requests which crash servers.
-func (g *Gateway) connectSuspects() {
-	g.suspects = suspect.New(g.board, suspect.MaxRequestCrashes)
-	g.suspects.Broadcast = func(ctx context.Context, reports []suspect.Report) {
-		ctx = context.WithoutCancel(ctx)
-		go func() {
-			g.suspects.AcceptRuns(ctx, g.links.ReportSuspects(ctx, g.board.Members.Load().AlivePeers(), reports))
-		}()
-	}
-	g.suspects.Persist = g.poisonWriter.Enqueue
-	g.suspects.OnChange = func(r blackboard.SuspectRequest) {
-		g.log.Warn("the suspicion that a request crashes servers has changed", "fingerprint", r.Fingerprint, "refused", r.IsRefused(),
-			"lost-servers", len(r.Lost), "proven", r.Proven, "trials", r.Trials, "age", time.Since(r.RefusedAt))
-	}
-	g.crashes = suspect.NewWatch(g.log)
-	g.crashes.OnLoss = func(r suspect.Run, at time.Time) {
-		g.suspects.RecordLoss(context.Background(), r.Fingerprint, r.Server.Process, r.RequestID, at)
-	}
-	g.trials = &trials{board: g.board, suspects: g.suspects, log: g.log, started: time.Now(), ask: g.links.AskTrial, tell: g.links.EndTrial}
-	g.peers.MergeSuspects = g.suspects.Merge
-	g.peers.GrantTrial = g.trials.grant
-	g.peers.EndTrial = func(known suspect.Report) { g.suspects.EndTrial(known.Fingerprint) }
-	g.metrics.RegisterGauge("lentilward_suspect_requests", "Requests during which backend servers were lost, and that have not run well since.",
-		func() float64 { return float64(g.board.Suspects.Load().Suspected) })
-	g.metrics.RegisterGauge("lentilward_refused_requests", "Requests that are refused but for trials, since they have crashed backend servers.",
-		func() float64 { return float64(g.board.Suspects.Load().Refused) })
-}
-
 // logSilentPeer returns a function that logs a connection to a peer that was given
 // up because the peer sent nothing on it.
 func logSilentPeer(log *slog.Logger) func(netip.AddrPort, time.Duration) {
@@ -292,23 +263,6 @@
 	}
 }
 
-// mergePoisonRequests merges the poison requests among new records into the list
-// of suspects.
-func (g *Gateway) mergePoisonRequests(records []mirror.Record) {
-	for _, r := range records {
-		if r.Deleted || !strings.HasPrefix(r.Key, poisonPrefix) {
-			continue
-		}
-		fingerprint, record, err := decodePoison(r.Key, r.Value)
-		if err != nil {
-			g.log.Error("record of a poison request is malformed", "key", r.Key, "error", err)
-			continue
-		}
-		g.log.Info("received the record of a poison request", "fingerprint", fingerprint, "proven", record.Proven, "trials", record.Trials, "revision", r.Revision)
-		g.suspects.MergeStored(fingerprint, record.Proven, record.Trials)
-	}
-}
-
 // connectCallers connects the HTTP server for callers with the search engine.
 func (g *Gateway) connectCallers() {
 	replies := g.options.Load().newMemory(replyMemoryShare)
@@ -328,14 +282,7 @@
 		EncodeRefusal: platform.EncodeRefusal, SetTenant: platform.SetTenant,
 	}, g.directory, g.engine, g.log)
 	g.callers.Memory = g.options.Load().newMemory(requestMemoryShare)
-	g.callers.IsPoison = func(r *domain.Request, tenant string) bool {
-		return g.board.Suspects.Load().Refused > 0 && g.suspects.IsRefused(suspect.RequestFingerprint(r, tenant))
-	}
-	g.callers.StartTrial = func(ctx context.Context, r *domain.Request, tenant string, deadline time.Time) (func(bool), time.Duration) {
-		return g.trials.start(ctx, suspect.RequestFingerprint(r, tenant), deadline)
-	}
-	g.engine.OnRan = func(fingerprint uint64, at time.Time) { g.suspects.RecordRun(context.Background(), fingerprint, at) }
-	g.engine.OnLost, g.engine.OnGivenUp = g.crashes.Lost, g.crashes.GivenUp
+	g.refuseSuspects()
 	g.callers.OnRequestEnd = func(r web.RequestResult) {
 		if r.Refusal != nil {
 			g.metrics.RecordRefusal(r.Refusal.Reason, r.Refusal.Outcome)
