Keep the times of a suspicion while peers repeat it

What callers would see: a refused request gets no trial while instances exchange what they know, which they do with each change of the records, so that the refusal does not end; and a run that went well ends suspicions from long after it. Found by asking how a suspicion ends while peers repeat it.

Cause: times travel as ages, and each report adds the time that it takes. Of two times for the latest trial, and for the latest run, the later one was kept, so that each exchange moved them on.

Change: a trial is known by its number and a run by an identity, and of two times for one event the earlier one counts.

Evidence: TestRepeatedReportsDoNotMoveTimes failed before: a minute after the last trial the next one was due in 59.999 s, and three losses 25 s after a run did not refuse the request. It passes now.

--- a/lentilward/blackboard/suspects.go
+++ b/lentilward/blackboard/suspects.go
@@ -9,8 +9,9 @@
 	// first. None was lost before RanAt.
 	Lost []LostServer
 	// RanAt is when a server last answered the request with success; zero if none is known
-	// to have.
+	// to have. RunID identifies that run on all instances.
 	RanAt time.Time
+	RunID uint64
 	// Proven is set if a server had answered the request with success before the losses.
 	Proven bool
 	// RefusedAt is since when the request is refused; zero if it is not.
--- a/lentilward/suspect/report.go
+++ b/lentilward/suspect/report.go
@@ -16,6 +16,7 @@
 	Fingerprint uint64        `cbor:"fingerprint"`
 	Lost        []LostReport  `cbor:"lost-servers,omitempty"`
 	Ran         time.Duration `cbor:"ran,omitempty"`
+	RunID       uint64        `cbor:"run-id,omitempty"`
 	Proven      bool          `cbor:"proven,omitempty"`
 	Refused     time.Duration `cbor:"refused,omitempty"`
 	Trials      int           `cbor:"trials,omitempty"`
@@ -31,7 +32,7 @@
 
 func newReport(r blackboard.SuspectRequest, now time.Time) Report {
 	report := Report{
-		Fingerprint: r.Fingerprint, Ran: ageOf(r.RanAt, now), Proven: r.Proven, Refused: ageOf(r.RefusedAt, now),
+		Fingerprint: r.Fingerprint, Ran: ageOf(r.RanAt, now), RunID: r.RunID, Proven: r.Proven, Refused: ageOf(r.RefusedAt, now),
 		Trials: r.Trials, Trial: ageOf(r.TrialAt, now),
 	}
 	for _, l := range r.Lost {
@@ -42,7 +43,7 @@
 
 func (r Report) toRequest(now time.Time) blackboard.SuspectRequest {
 	request := blackboard.SuspectRequest{
-		Fingerprint: r.Fingerprint, RanAt: timeOf(r.Ran, now), Proven: r.Proven, RefusedAt: timeOf(r.Refused, now),
+		Fingerprint: r.Fingerprint, RanAt: timeOf(r.Ran, now), RunID: r.RunID, Proven: r.Proven, RefusedAt: timeOf(r.Refused, now),
 		Trials: r.Trials, TrialAt: timeOf(r.Trial, now),
 	}
 	for _, l := range r.Lost {
@@ -66,16 +67,21 @@
 }
 
 // merge returns what is known of a request from two sources. A run that went well ends all
-// suspicion from before it; a server that both lost counts once.
+// suspicion from before it; a server that both lost counts once. Each report adds the time
+// that it has taken to the times in it, so of two for one event the earlier one is right.
 func merge(a, b blackboard.SuspectRequest) blackboard.SuspectRequest {
-	merged := blackboard.SuspectRequest{Fingerprint: b.Fingerprint, RanAt: later(a.RanAt, b.RanAt), Proven: a.Proven || b.Proven}
+	merged := blackboard.SuspectRequest{Fingerprint: b.Fingerprint, Proven: a.Proven || b.Proven}
+	merged.RanAt, merged.RunID = a.RanAt, a.RunID
+	if isSame := a.RunID == b.RunID; isSame && b.RanAt.Before(a.RanAt) || !isSame && b.RanAt.After(a.RanAt) {
+		merged.RanAt, merged.RunID = b.RanAt, b.RunID
+	}
 	merged.Lost = mergeLost(a.Lost, b.Lost, merged.RanAt)
 	for _, r := range []blackboard.SuspectRequest{a, b} {
 		if r.RefusedAt.After(merged.RanAt) && (merged.RefusedAt.IsZero() || r.RefusedAt.Before(merged.RefusedAt)) {
 			merged.RefusedAt = r.RefusedAt
 		}
-		if r.TrialAt.After(merged.RanAt) {
-			merged.Trials, merged.TrialAt = max(merged.Trials, r.Trials), later(merged.TrialAt, r.TrialAt)
+		if r.TrialAt.After(merged.RanAt) && (r.Trials > merged.Trials || r.Trials == merged.Trials && r.TrialAt.Before(merged.TrialAt)) {
+			merged.Trials, merged.TrialAt = r.Trials, r.TrialAt
 		}
 	}
 	return merged
--- a/lentilward/suspect/suspect.go
+++ b/lentilward/suspect/suspect.go
@@ -7,6 +7,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -95,7 +96,7 @@
 	s.mu.Lock()
 	recorded := s.recorded[fingerprint]
 	s.mu.Unlock()
-	update := blackboard.SuspectRequest{Fingerprint: fingerprint, RanAt: at}
+	update := blackboard.SuspectRequest{Fingerprint: fingerprint, RanAt: at, RunID: s.runID(at)}
 	if recorded || known.IsRefused() {
 		s.publish(ctx, update)
 	} else {
@@ -146,8 +147,9 @@
 		if ranAt := s.ran.find(update.Fingerprint); len(update.Lost) > 0 && !ranAt.IsZero() {
 			update.Proven = true
 			if !update.Lost[len(update.Lost)-1].At.After(ranAt) {
-				update.RanAt = later(update.RanAt, ranAt)
-				ran = append(ran, newReport(blackboard.SuspectRequest{Fingerprint: update.Fingerprint, RanAt: ranAt}, now))
+				known := blackboard.SuspectRequest{Fingerprint: update.Fingerprint, RanAt: ranAt, RunID: s.runID(ranAt)}
+				update = merge(update, known)
+				ran = append(ran, newReport(known, now))
 			}
 		}
 		updates = append(updates, update)
@@ -156,6 +158,11 @@
 	return ran
 }
 
+// runID identifies a run of this instance.
+func (s *List) runID(at time.Time) uint64 {
+	return xxhash.Sum64String(s.board.LocalInstance.Load().Name + "\x00" + strconv.FormatInt(at.UnixNano(), 16))
+}
+
 // AcceptRuns takes in that requests of which this instance has recorded lost servers have
 // run well since on other instances, and tells all peers.
 func (s *List) AcceptRuns(ctx context.Context, ran []Report) {
--- a/lentilward/suspect/suspect_test.go
+++ b/lentilward/suspect/suspect_test.go
@@ -183,3 +183,39 @@
 		t.Error("a different id changes the fingerprint")
 	}
 }
+
+// Guards against times that move on while instances repeat to each other what they know, so
+// that a refusal has no next trial, or a run ends suspicions from after it.
+func TestRepeatedReportsDoNotMoveTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newList(), newList()
+		exchange := func(period time.Duration) {
+			const delay = 100 * time.Millisecond
+			for end := time.Now().Add(period); time.Now().Before(end); {
+				for _, pair := range [][2]*List{{a, b}, {b, a}} {
+					reports := pair[0].All()
+					time.Sleep(delay)
+					pair[1].Merge(reports)
+				}
+			}
+		}
+		refuse(t, a)
+		a.RecordTrial(t.Context(), 7)
+		exchange(61 * time.Second)
+		for _, l := range []*List{a, b} {
+			if g := l.GrantTrial(t.Context(), l.Find(7), time.Second, false); !g.Granted {
+				t.Errorf("no trial a minute after the last one, but in %v", g.RetryAfter)
+			}
+			l.EndTrial(7)
+		}
+		a.RecordRun(t.Context(), 7, time.Now())
+		exchange(30 * time.Second)
+		lostAt := time.Now().Add(-5 * time.Second)
+		for process := range uint64(MaxRequestCrashes) {
+			a.RecordLoss(t.Context(), 7, 10+process, fmt.Sprint(process), lostAt)
+		}
+		if !a.IsRefused(7) {
+			t.Error("a run counts for losses from long after it")
+		}
+	})
+}
