Do not count the planned stop of a server against a request

Cause: a server that drains and ends while a run that was given up on it might still go on refuses connections, and counted as lost with that run. Found by reading.

Change: a server that is out of service when it is lost counts for nothing.

Evidence: TestServerThatStopsAsPlannedIsNotLost failed before.

--- a/lentilward/suspect/watch.go
+++ b/lentilward/suspect/watch.go
@@ -164,11 +164,13 @@
 		w.givenUp[server] = []givenUpRun{}
 	}
 	w.mu.Unlock()
+	// A server that drains ends without being crashed.
+	planned := server.IsOutOfService()
 	for _, r := range runs {
 		hasRun := r.HasRun()
 		w.log.Info("a server was lost during a request", "request-id", r.RequestID, "fingerprint", r.Fingerprint, "server", server.ID,
-			"evidence", evidence, "runs", len(runs), "age", time.Since(at), "answered", hasRun)
-		if !hasRun {
+			"evidence", evidence, "runs", len(runs), "age", time.Since(at), "answered", hasRun, "planned", planned)
+		if !hasRun && !planned {
 			w.OnLoss(r, at)
 		}
 	}
--- a/lentilward/suspect/watch_test.go
+++ b/lentilward/suspect/watch_test.go
@@ -119,6 +119,20 @@
 	}
 }
 
+// Guards against blaming a request for the planned stop of a server.
+func TestServerThatStopsAsPlannedIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWatchTest()
+		w.GivenUp(w.run("a", false), time.Now().Add(6*time.Second))
+		w.server.SetOutOfService(true)
+		time.Sleep(time.Second)
+		w.process.crash()
+		w.Lost(w.run("b", false), time.Now())
+		time.Sleep(20 * time.Second)
+		w.wantLost(t)
+	})
+}
+
 // Guards against a watch that goes on, or opens connections, without a reason.
 func TestWatchEndsWithTheDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
