Count requests that run once among those that crash servers, over gRPC

What callers saw: on the gRPC face a request that may run once and crashes its server reached another one each time it came under a new ID, whether its caller stayed or left.

Cause: only searches were counted there; and a call was cancelled as its caller left, so that nobody saw its end.

Change: such a request is known by its service and payload, and counted, refused and tried as a search is. Its call goes on for a second after its caller has left, as that of a query which is tried first.

Evidence: TestExecuteThatCrashesServersIsRefused on: reached servers 6 times, 2 are permitted.

--- a/lentilward/backend/attempt.go
+++ b/lentilward/backend/attempt.go
@@ -13,9 +13,9 @@
 	// coldCallTimeout bounds a call to a cold server. Such a call is not cancelled
 	// with its request, since the server may go on running it.
 	coldCallTimeout = time.Second
-	// canaryLinger is how long the call of a canary goes on after its request has ended: it
-	// tells whether the query crashes servers.
-	canaryLinger = time.Second
+	// callLinger is how long the call of a canary, or of a request that runs once, goes on
+	// after its request has ended: it tells whether the request crashes servers.
+	callLinger = time.Second
 )
 
 // callResult is the result of one call.
@@ -49,12 +49,12 @@
 	}()
 }
 
-// linger returns a context that ends canaryLinger after another, or with end.
+// linger returns a context that ends callLinger after another, or with end.
 func linger(ctx context.Context) (_ context.Context, end func()) {
 	lingering, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	detach := context.AfterFunc(ctx, func() {
 		select {
-		case <-time.After(canaryLinger):
+		case <-time.After(callLinger):
 			cancel()
 		case <-lingering.Done():
 		}
--- a/lentilward/backend/execute.go
+++ b/lentilward/backend/execute.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/schema/domain"
 )
 
 // minTimeLeft is the minimum time left until the deadline for a non-idempotent
@@ -28,8 +29,7 @@
 			return nil, errors.Join(err, context.DeadlineExceeded)
 		}
 		req.attempts.Add(1)
-		result, err := slot.server.Client.Execute(ctx, req.ID, routes.Service.Name, r.instance, payload)
-		slot.endCallWith(err)
+		result, err := r.callExecute(ctx, req, slot, routes.Service.Name, payload)
 		if err == nil {
 			req.replied.Add(1)
 			return result, nil
@@ -43,3 +43,29 @@
 		}
 	}
 }
+
+// callExecute makes one call. If the context ends first, the call goes on for a while: it
+// tells whether the request crashes servers.
+func (r *Runner) callExecute(ctx context.Context, req *Request, slot *serverSlot, service string, payload []byte) ([]byte, error) {
+	type result struct {
+		reply []byte
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		callContext, end := linger(ctx)
+		defer end()
+		reply, err := slot.server.Client.Execute(callContext, req.ID, service, r.instance, payload)
+		slot.endCallWith(err)
+		if errors.Is(err, domain.ErrConnectionLost) && req.OnLost != nil {
+			req.OnLost()
+		}
+		done <- result{reply, err}
+	}()
+	select {
+	case r := <-done:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- a/lentilward/caller/canary.go
+++ b/lentilward/caller/canary.go
@@ -45,9 +45,9 @@
 
 // searchTrial runs a query that is refused on one shard if a trial is due.
 func (s *Server) searchTrial(ctx context.Context, req *backend.Request, services []*blackboard.ServiceRoutes, known blackboard.SuspectRequest) (*canary, *domain.Refusal) {
-	end, retryAfter := s.StartTrial(ctx, known.Fingerprint, req.Deadline)
-	if end == nil {
-		return nil, poisonRefusal(req, known, retryAfter)
+	end, refused := s.checkPoison(ctx, known.Fingerprint, req)
+	if refused != nil {
+		return nil, refused
 	}
 	c := s.searchCanaryOnce(ctx, req, services)
 	end(c != nil)
@@ -63,7 +63,8 @@
 	canaryRequest := &backend.Request{
 		ID: req.ID, Query: req.Query, Class: req.Class, Deadline: req.Deadline, WaitForServer: req.WaitForServer, Canary: true,
 	}
-	canaryRequest.OnLost = func() { s.recordLoss(context.WithoutCancel(ctx), canaryRequest) }
+	fingerprint := suspect.QueryFingerprint(req.Query)
+	canaryRequest.OnLost = func() { s.recordLoss(context.WithoutCancel(ctx), fingerprint, canaryRequest) }
 	first := rand.IntN(len(services))
 	for i := range services {
 		r := services[(first+i)%len(services)]
@@ -76,7 +77,7 @@
 		}
 		result := s.runner.Run(ctx, canaryRequest, backend.Task{Routes: r, Version: r.PinnedVersion, Shard: uint32(shard)})
 		if canaryRequest.Replied() > 0 {
-			s.suspects.RecordRun(ctx, suspect.QueryFingerprint(req.Query), time.Now())
+			s.suspects.RecordRun(ctx, fingerprint, time.Now())
 		}
 		req.AddCalls(canaryRequest)
 		return &canary{service: r.Service.Name, version: r.PinnedVersion.Version, result: result, lostCalls: canaryRequest.LostCalls()}
@@ -84,18 +85,22 @@
 	return nil
 }
 
-// recordLoss records that a server was lost while it ran a query. Each loss counts as one of
-// another request, since the server ran it alone.
-func (s *Server) recordLoss(ctx context.Context, req *backend.Request) {
+// recordLoss records that a server was lost while it ran a request. Each loss counts as one of
+// another request, since the request was on one server only.
+func (s *Server) recordLoss(ctx context.Context, fingerprint uint64, req *backend.Request) {
 	now := time.Now()
 	loss := s.board.LocalInstance.Load().Name + "\x00" + req.ID + "\x00" + now.String()
-	s.suspects.RecordLoss(ctx, suspect.QueryFingerprint(req.Query), xxhash.Sum64String(loss), loss, now)
+	s.suspects.RecordLoss(ctx, fingerprint, xxhash.Sum64String(loss), loss, now)
 }
 
-// poisonRefusal returns the refusal of a query during which backend servers
+// poisonRefusal returns the refusal of a query or request during which backend servers
 // were lost.
 func poisonRefusal(req *backend.Request, known blackboard.SuspectRequest, retryAfter time.Duration) *domain.Refusal {
-	refusal := notRunRefusal(domain.Poison, "%d backend servers were lost while they ran this query", len(known.Lost))
+	what := "query"
+	if req.Query == "" {
+		what = "request"
+	}
+	refusal := notRunRefusal(domain.Poison, "%d backend servers were lost while they ran this %s", len(known.Lost), what)
 	refusal.Outcome, refusal.RetryAfter = req.Outcome(), retryAfter
 	return refusal
 }
--- a/lentilward/caller/execute.go
+++ b/lentilward/caller/execute.go
@@ -7,6 +7,7 @@
 
 	"lentilward.org/lentilward/backend"
 	"lentilward.org/lentilward/store"
+	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/domain"
 )
 
@@ -57,8 +58,19 @@
 	if err != nil {
 		return claimedResult(earlier, err)
 	}
+	fingerprint := suspect.PayloadFingerprint(r.Service, r.Payload)
 	req := &backend.Request{ID: r.ID, Class: r.Class, Deadline: due, WaitForServer: true}
+	req.OnLost = func() { s.recordLoss(context.WithoutCancel(ctx), fingerprint, req) }
+	endTrial, refused := s.checkPoison(ctx, fingerprint, req)
+	if refused != nil {
+		s.updateClaim(claim, domain.NotRun, nil)
+		return nil, refused
+	}
 	result, err := s.runner.Execute(ctx, req, services[0], r.Payload, func() error { return s.stopper.check(ctx) })
+	if err == nil {
+		s.suspects.RecordRun(ctx, fingerprint, time.Now())
+	}
+	endTrial(req.Outcome() != domain.NotRun)
 	s.updateClaim(claim, req.Outcome(), result)
 	if err != nil {
 		refusal := asRefusal(err)
@@ -69,6 +81,20 @@
 	return result, nil
 }
 
+// checkPoison refuses a request that is known to crash servers unless a trial of it is due.
+// The trial ends with end.
+func (s *Server) checkPoison(ctx context.Context, fingerprint uint64, req *backend.Request) (end func(ran bool), _ *domain.Refusal) {
+	known := s.board.Suspects.Load().ByFingerprint[fingerprint]
+	if !known.IsRefused() {
+		return func(bool) {}, nil
+	}
+	end, retryAfter := s.StartTrial(ctx, fingerprint, req.Deadline)
+	if end == nil {
+		return nil, poisonRefusal(req, known, retryAfter)
+	}
+	return end, nil
+}
+
 // claimedResult returns the result of a request that could not be claimed: the
 // stored result if an earlier request with its id has finished, and else a
 // refusal.
--- a/lentilward/caller/poison_test.go
+++ b/lentilward/caller/poison_test.go
@@ -48,6 +48,41 @@
 	})
 }
 
+// Guards against a request that may run once and crashes each server that runs it, under a new
+// ID each time, with callers that stay and callers that leave (the same on the path of
+// requests that run once).
+func TestExecuteThatCrashesServersIsRefused(t *testing.T) {
+	for _, leave := range []time.Duration{time.Second, 50 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			inst := newTestInstance(t.Context())
+			for _, f := range inst.servers["audit"] {
+				f.connectionLost, f.extraDelay = true, 100*time.Millisecond
+			}
+			for i := range 6 {
+				ctx, cancel := context.WithCancel(t.Context())
+				time.AfterFunc(leave, cancel)
+				_, err := inst.server.Execute(ctx, &domain.ExecuteRequest{
+					ID: fmt.Sprint("e", i), Caller: "tester", Service: "audit", Payload: []byte("bad"), Class: domain.Interactive, TimeLeft: 5 * time.Second,
+				})
+				var refusal *domain.Refusal
+				if !errors.As(err, &refusal) || i >= suspect.MaxCrashes && (refusal.Reason != domain.Poison || refusal.Outcome != domain.NotRun) {
+					t.Errorf("request %d with a caller that leaves after %v: %v", i, leave, err)
+				}
+				time.Sleep(2 * time.Second)
+			}
+			if calls := inst.callCount(); calls != suspect.MaxCrashes {
+				t.Errorf("reached servers %d times, want %d", calls, suspect.MaxCrashes)
+			}
+			_, err := inst.server.Execute(t.Context(), &domain.ExecuteRequest{
+				ID: "other", Caller: "tester", Service: "billing", Payload: []byte("bad"), Class: domain.Interactive, TimeLeft: 5 * time.Second,
+			})
+			if err != nil {
+				t.Errorf("the same payload for another service: %v", err)
+			}
+		})
+	}
+}
+
 // Guards against a query that many callers send and that stays refused after a crash of all
 // servers (found in a review: RECOVER, on the other face).
 func TestPopularQueryIsServedAfterAllServersWereLost(t *testing.T) {
--- a/lentilward/caller/server.go
+++ b/lentilward/caller/server.go
@@ -163,7 +163,7 @@
 	if req.Replied() > 0 {
 		s.suspects.RecordRun(ctx, suspect.QueryFingerprint(req.Query), time.Now())
 	} else if req.LostCalls() > suspect.MaxCrashes {
-		s.recordLoss(ctx, req)
+		s.recordLoss(ctx, suspect.QueryFingerprint(req.Query), req)
 	}
 	return results, nil
 }
--- a/lentilward/suspect/fingerprint.go
+++ b/lentilward/suspect/fingerprint.go
@@ -29,6 +29,15 @@
 	return xxhash.Sum64String(query)
 }
 
+// PayloadFingerprint returns a hash of a non-idempotent request: its service and payload.
+func PayloadFingerprint(service string, payload []byte) uint64 {
+	h := xxhash.New()
+	h.WriteString(service)
+	h.WriteString("\x00")
+	h.Write(payload)
+	return h.Sum64()
+}
+
 // Shape returns a hash of a query in which all runs of digits count as equal.
 // The query must not be longer than MaxQueryBytes.
 func Shape(query string) uint64 {
