Wire the trials of both faces in one place, and shorten Execute

The two faces connected the trials with the peers in the same five lines, and Execute had grown by the check of crashing requests.

--- a/lentilward/caller/execute.go
+++ b/lentilward/caller/execute.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilward.org/lentilward/backend"
+	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/store"
 	"lentilward.org/lentilward/suspect"
 	"lentilward.org/schema/domain"
@@ -58,27 +59,32 @@
 	if err != nil {
 		return claimedResult(earlier, err)
 	}
-	fingerprint := suspect.PayloadFingerprint(r.Service, r.Payload)
 	req := &backend.Request{ID: r.ID, Class: r.Class, Deadline: due, WaitForServer: true}
+	result, err := s.runClaimed(ctx, r, req, services[0])
+	s.updateClaim(claim, req.Outcome(), result)
+	if err != nil {
+		refusal := asRefusal(err)
+		refusal.Outcome = req.Outcome()
+		return nil, s.stopper.explain(refusal)
+	}
+	s.metrics.RecordAnswer(r.Caller, r.Class, time.Since(begin), req.Attempts(), 0, 0)
+	return result, nil
+}
+
+// runClaimed runs a request that was claimed, unless it is known to crash servers.
+func (s *Server) runClaimed(ctx context.Context, r *domain.ExecuteRequest, req *backend.Request, routes *blackboard.ServiceRoutes) ([]byte, error) {
+	fingerprint := suspect.PayloadFingerprint(r.Service, r.Payload)
 	req.OnLost = func() { s.recordLoss(context.WithoutCancel(ctx), fingerprint, req) }
 	endTrial, refused := s.checkPoison(ctx, fingerprint, req)
 	if refused != nil {
-		s.updateClaim(claim, domain.NotRun, nil)
 		return nil, refused
 	}
-	result, err := s.runner.Execute(ctx, req, services[0], r.Payload, func() error { return s.stopper.check(ctx) })
+	result, err := s.runner.Execute(ctx, req, routes, r.Payload, func() error { return s.stopper.check(ctx) })
 	if err == nil {
 		s.suspects.RecordRun(ctx, fingerprint, time.Now())
 	}
 	endTrial(req.Outcome() != domain.NotRun)
-	s.updateClaim(claim, req.Outcome(), result)
-	if err != nil {
-		refusal := asRefusal(err)
-		refusal.Outcome = req.Outcome()
-		return nil, s.stopper.explain(refusal)
-	}
-	s.metrics.RecordAnswer(r.Caller, r.Class, time.Since(begin), req.Attempts(), 0, 0)
-	return result, nil
+	return result, err
 }
 
 // checkPoison refuses a request that is known to crash servers unless a trial of it is due.
--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -134,10 +134,7 @@
 	c.suspects.Broadcast = func(ctx context.Context, reports []suspect.Report) {
 		c.suspects.AcceptRuns(ctx, c.links.ReportSuspects(ctx, c.board.Members.Load().AlivePeers(), reports))
 	}
-	t := &trials{board: c.board, suspects: c.suspects, log: c.log, started: time.Now(), ask: c.links.AskTrial, tell: c.links.EndTrial}
-	c.callers.StartTrial = t.start
-	c.peers.GrantTrial = t.grant
-	c.peers.EndTrial = func(known suspect.Report) { c.suspects.EndTrial(known.Fingerprint) }
+	c.callers.StartTrial = newTrials(c.board, c.suspects, c.links, c.peers, c.log).start
 	c.claims.Rank = func() int { return c.board.Members.Load().Rank("claims") }
 	c.watcher.Rank = func() int { return c.board.Members.Load().Rank("config") }
 	c.watcher.OnInstall = c.prober.GossipNow
--- a/lentilward/gateway_suspects.go
+++ b/lentilward/gateway_suspects.go
@@ -29,10 +29,8 @@
 	g.crashes.OnLoss = func(r suspect.Run, at time.Time) {
 		g.suspects.RecordLoss(context.Background(), r.Fingerprint, r.Server.Process, r.RequestID, at)
 	}
-	g.trials = &trials{board: g.board, suspects: g.suspects, log: g.log, started: time.Now(), ask: g.links.AskTrial, tell: g.links.EndTrial}
+	g.trials = newTrials(g.board, g.suspects, g.links, g.peers, g.log)
 	g.peers.MergeSuspects = g.suspects.Merge
-	g.peers.GrantTrial = g.trials.grant
-	g.peers.EndTrial = func(known suspect.Report) { g.suspects.EndTrial(known.Fingerprint) }
 	g.metrics.RegisterGauge("lentilward_suspect_requests", "Requests during which backend servers were lost, and that have not run well since.",
 		func() float64 { return float64(g.board.Suspects.Load().Suspected) })
 	g.metrics.RegisterGauge("lentilward_refused_requests", "Requests that are refused but for trials, since they have crashed backend servers.",
--- a/lentilward/trials.go
+++ b/lentilward/trials.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lentilward.org/lentilward/blackboard"
+	"lentilward.org/lentilward/peer"
 	"lentilward.org/lentilward/suspect"
 )
 
@@ -34,6 +35,14 @@
 	tell func(ctx context.Context, home netip.AddrPort, known suspect.Report) error
 }
 
+// newTrials returns trials that ask the peers and answer them.
+func newTrials(board *blackboard.Board, suspects *suspect.List, links *peer.Links, peers *peer.Server, log *slog.Logger) *trials {
+	t := &trials{board: board, suspects: suspects, log: log, started: time.Now(), ask: links.AskTrial, tell: links.EndTrial}
+	peers.GrantTrial = t.grant
+	peers.EndTrial = func(known suspect.Report) { suspects.EndTrial(known.Fingerprint) }
+	return t
+}
+
 // start starts a trial of a request, which must end by the deadline. end must then be called
 // with whether the request may have run. If no trial may run, end is nil, and retryAfter
 // says when one may.
