--- a/lentilstand/platform/http.go
+++ b/lentilstand/platform/http.go
@@ -28,7 +28,7 @@
 	mux.HandleFunc("POST /v1/kv-lease", s.serveGrantLease)
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.serveRenewLease)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.serveEndLease)
-	return mux
+	return s.replyInEra(mux)
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
--- a/lentilstand/platform/store.go
+++ b/lentilstand/platform/store.go
@@ -85,6 +85,8 @@
 	history  []item
 	leases   map[uint64]*lease
 	revision uint64
+	// era rises when the store comes back from a copy.
+	era uint64
 	// compactedRevision is the revision after which the history is complete.
 	compactedRevision uint64
 	changed           chan struct{}
@@ -104,7 +106,7 @@
 func New(seed uint64) *Store {
 	return &Store{
 		rand: rand.New(rand.NewPCG(seed, 0)), items: make(map[string]item), leases: make(map[uint64]*lease),
-		revision: 1, changed: make(chan struct{}),
+		revision: 1, era: 1, changed: make(chan struct{}),
 		readLimiter:  tokenBucket{rate: readsPerSecond, tokens: readsPerSecond},
 		writeLimiter: tokenBucket{rate: writesPerSecond, tokens: writesPerSecond},
 	}
@@ -153,18 +155,24 @@
 
 // watch waits for changes of keys with a prefix after a revision and returns them
 // with the current revision. It returns no changes if the wait ends first, and
-// errCompacted if the history no longer reaches back to the revision.
+// errCompacted if the history no longer reaches back to the revision or does not have it
+// yet. It gets no reply if another era begins meanwhile.
 func (s *Store) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]item, uint64, error) {
 	timer := time.NewTimer(min(wait, maxWatchWait))
 	defer timer.Stop()
+	begunIn := s.Era()
 	for {
 		s.mu.Lock()
 		s.expireLeases(time.Now())
 		events, revision, compactedRevision, changed := s.changesSince(prefix, after), s.revision, s.compactedRevision, s.changed
+		era := s.era
 		muted := time.Now().Before(s.faults.watchesMutedUntil)
 		next := s.nextExpiry()
 		s.mu.Unlock()
-		if after < compactedRevision {
+		if era != begunIn {
+			return nil, revision, errNoReply
+		}
+		if after < compactedRevision || after > revision {
 			return nil, revision, errCompacted
 		}
 		if len(events) > 0 && !muted {
--- a/lentilstand/platform/store_test.go
+++ b/lentilstand/platform/store_test.go
@@ -150,3 +150,31 @@
 		t.Fatal("call refused 1 s after the bucket was empty")
 	}
 }
+
+// Guards against a stand-in that keeps acknowledged writes when it returns from a copy, or
+// answers watches from revisions that it does not have.
+func TestReturnFromCopyLosesLaterWrites(t *testing.T) {
+	s, c := newStoreAndClient(t)
+	put(t, c, "a", "1", 0)
+	older := s.TakeCopy()
+	newest := put(t, c, "a", "2", 0)
+	waiting := make(chan error)
+	go func() {
+		_, err := c.Watch(t.Context(), "", newest, time.Minute)
+		waiting <- err
+	}()
+	time.Sleep(10 * time.Millisecond)
+	s.Restore(older)
+	if err := <-waiting; err == nil {
+		t.Error("a watch that spans the return got a reply")
+	}
+	if i, err := c.Get(t.Context(), "a"); err != nil || string(i.Value) != "1" {
+		t.Errorf("value %q after the return, error %v", i.Value, err)
+	}
+	if _, err := c.Watch(t.Context(), "", newest, time.Millisecond); !errors.Is(err, platform.ErrCompacted) {
+		t.Errorf("watch from a revision of the former era returned %v, want ErrCompacted", err)
+	}
+	if again := put(t, c, "a", "3", 0); again != newest {
+		t.Errorf("revision %d after the return, want %d again", again, newest)
+	}
+}
--- a/lentilstand/platform/wire.go
+++ b/lentilstand/platform/wire.go
@@ -36,6 +36,8 @@
 type Server struct {
 	Service, Address, DataCentre string
 	Draining                     bool
+	// Sequence counts the heartbeats of the process; 0 stands for 1.
+	Sequence int
 }
 
 // Record returns the JSON value of the server's record.
@@ -46,7 +48,7 @@
 	}
 	return mustEncode(map[string]any{
 		"service": s.Service, "address": s.Address, "zone": s.DataCentre, "version": "v1", "slots": 3, "state": state,
-		"coldRemainingMs": 0, "sequence": 1, "born": 1,
+		"coldRemainingMs": 0, "sequence": max(1, s.Sequence), "born": 1,
 	})
 }
 
