Log the era of the store and the records that a request was decided by

The log could not tell the hypotheses of the incident apart: whether the store had come back from a copy, whether the records at hand were old, and whether a call was made for a peer. The follower logs another era of the store (gauge lentilward_store_era); request lines name version, records and their age for served requests too; a gatherer logs what it gathers at debug level.

No decision changes: the era is only logged. Tests of web and mirror pass.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -243,6 +244,8 @@
 	})
 	g.metrics.RegisterGauge("lentilward_records_revision", "Revision of the store up to which the records are known.",
 		func() float64 { return float64(g.mirror.Revision()) })
+	g.metrics.RegisterGauge("lentilward_store_era", "Era of the last reply of the store, which rises when the store comes back from an older copy.",
+		func() float64 { return float64(g.follower.Era()) })
 	g.metrics.RegisterGauge("lentilward_records_age_seconds", "Time since the records were last confirmed to be up to date.",
 		func() float64 { return g.follower.Age().Seconds() })
 	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
@@ -302,6 +305,7 @@
 	g.metrics.RegisterGauge("lentilward_held_frame_bytes", "Bytes of frames of peers that are held.",
 		func() float64 { return float64(g.links.Memory.Used()) })
 	g.callers.ConfigurationAge = g.follower.Age
+	g.callers.RecordVersion = func() string { return fmt.Sprintf("%d.%d", g.follower.Era(), g.mirror.Revision()) }
 	g.callers.IsConfigurationCurrent = func() bool {
 		return g.follower.Age() < time.Duration(g.options.Load().Apply) && !g.directory.HasPending()
 	}
--- a/lentilward/gateway_gather.go
+++ b/lentilward/gateway_gather.go
@@ -121,7 +121,10 @@
 		g.log.Info("refusing to gather for a peer: route or service unknown", "request-id", request.Request.ID, "route", request.Route)
 		return
 	}
-	if request.Handover != nil {
+	if request.Handover == nil {
+		g.log.Debug("gathering for a peer", "request-id", request.Request.ID, "route", request.Route, "parts", len(services),
+			"version", snapshot.Configuration.Version, "records", g.callers.RecordVersion(), "configuration-age", g.follower.Age())
+	} else {
 		g.holders.run.Add(1)
 		g.log.Debug("running a search for a peer", "request-id", request.Request.ID, "route", request.Route, "parts", len(services),
 			"home", request.Handover.Home, "due-in", request.Handover.AnswerIn, "attempts", request.Handover.Attempts)
--- a/lentilward/gateway_store.go
+++ b/lentilward/gateway_store.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	page := &mirror.Page{Revision: p.Revision, More: p.More, Records: make([]mirror.Record, 0, len(p.Items))}
+	page := &mirror.Page{Era: p.Era, Revision: p.Revision, More: p.More, Records: make([]mirror.Record, 0, len(p.Items))}
 	for _, i := range p.Items {
 		page.Records = append(page.Records, mirror.Record{
 			Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted,
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -49,9 +49,10 @@
 
 // Page is one page of a listing, or the changes that a watch returned.
 type Page struct {
-	Records  []Record
-	Revision uint64
-	More     bool
+	Records []Record
+	// Era is the era of the store, which rises when it comes back from an older copy.
+	Era, Revision uint64
+	More          bool
 }
 
 // Follower keeps a mirror up to date with the store by listing and watching it.
@@ -67,6 +68,8 @@
 	// later confirmation shows that the store serves again; returnedAt is when it did.
 	failedAt, returnedAt time.Time
 	isAway               bool
+	// era is the era of the last reply of the store.
+	era uint64
 
 	// List returns one page of the records whose keys come after a key.
 	List func(ctx context.Context, after string) (*Page, error)
@@ -198,6 +201,7 @@
 	if err != nil {
 		return errors.Join(err, context.Cause(watchCtx))
 	}
+	f.observeEra(page)
 	f.mirror.Apply(page.Records, page.Revision)
 	// The store replied no later than at the end of the wait, even if the reply was
 	// on its way for longer.
@@ -227,6 +231,7 @@
 		if err != nil {
 			return err
 		}
+		f.observeEra(page)
 		if revision == 0 {
 			revision = page.Revision
 		}
@@ -244,6 +249,24 @@
 	return nil
 }
 
+// observeEra logs that the store has come back from an older copy.
+func (f *Follower) observeEra(page *Page) {
+	f.mu.Lock()
+	before := f.era
+	f.era = page.Era
+	f.mu.Unlock()
+	if before != page.Era {
+		f.log.Warn("store replies in another era", "era", page.Era, "before", before, "store-revision", page.Revision, "revision", f.mirror.Revision())
+	}
+}
+
+// Era returns the era of the last reply of the store; 0 without one.
+func (f *Follower) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // neverAge is the age of records that were never confirmed.
 const neverAge = time.Hour
 
--- a/lentilward/web/server.go
+++ b/lentilward/web/server.go
@@ -67,6 +67,8 @@
 	// ConfigurationAge returns how long ago the configuration in force was last
 	// confirmed to be the newest.
 	ConfigurationAge func() time.Duration
+	// RecordVersion returns the version of the store's records that are at hand, for the log.
+	RecordVersion func() string
 	// IsPoison reports whether a request of a tenant, or of none if that is empty, is known
 	// to crash backend servers. StartTrial asks whether it may run once nevertheless, until
 	// the deadline. If so, end must be called with whether it may have run; else end is nil,
@@ -100,9 +102,10 @@
 		bodiesContext: bodiesContext, endBodies: endBodies,
 		format: format, directory: d, engine: e, log: log,
 		IsConfigurationCurrent: func() bool { return true }, ConfigurationAge: func() time.Duration { return 0 }, OnRequestEnd: func(RequestResult) {},
-		AdmitsKeys: func() bool { return true },
-		IsPoison:   func(*domain.Request, string) bool { return false },
-		StartTrial: func(context.Context, *domain.Request, string, time.Time) (func(bool), time.Duration) { return nil, 0 },
+		RecordVersion: func() string { return "" },
+		AdmitsKeys:    func() bool { return true },
+		IsPoison:      func(*domain.Request, string) bool { return false },
+		StartTrial:    func(context.Context, *domain.Request, string, time.Time) (func(bool), time.Duration) { return nil, 0 },
 	}
 }
 
@@ -216,9 +219,9 @@
 	if result.Refusal != nil {
 		attributes = append(attributes, "reason", result.Refusal.Reason, "outcome", result.Refusal.Outcome,
 			"retry-after", result.Refusal.RetryAfter, "message", result.Refusal.Message)
-		if snapshot := s.directory.Current.Load(); snapshot != nil {
-			attributes = append(attributes, "version", snapshot.Configuration.Version, "configuration-age", s.ConfigurationAge())
-		}
+	}
+	if snapshot := s.directory.Current.Load(); snapshot != nil {
+		attributes = append(attributes, "version", snapshot.Configuration.Version, "records", s.RecordVersion(), "configuration-age", s.ConfigurationAge())
 	}
 	s.log.Log(context.Background(), level, "request", attributes...)
 }
