--- a/lentilward/core.go
+++ b/lentilward/core.go
@@ -116,7 +116,7 @@
 	c.prober.Ping = c.links.Ping
 	c.prober.PingVia = c.links.PingVia
 	c.prober.Seeds = c.seedAddresses
-	c.prober.OnNewerRevision = c.fetchConfiguration
+	c.prober.OnNewerVersion = c.fetchConfiguration
 	started := time.Now()
 	c.prober.NeedsMember = func() bool {
 		return len(c.board.Members.Load().AlivePeers()) == 0 && time.Since(started) < discoveryPeriod
@@ -130,7 +130,7 @@
 		return err
 	}
 	c.peers.MergeSuspects = c.suspects.Merge
-	c.peers.Records = func(uint64) peer.RecordsReply { return peer.RecordsReply{Suspects: c.suspects.All()} }
+	c.peers.Records = func(blackboard.Version) peer.RecordsReply { return peer.RecordsReply{Suspects: c.suspects.All()} }
 	c.suspects.Broadcast = func(ctx context.Context, reports []suspect.Report) {
 		c.suspects.AcceptRuns(ctx, c.links.ReportSuspects(ctx, c.board.Members.Load().AlivePeers(), reports))
 	}
@@ -138,7 +138,7 @@
 	c.claims.Rank = func() int { return c.board.Members.Load().Rank("claims") }
 	c.watcher.Rank = func() int { return c.board.Members.Load().Rank("config") }
 	c.watcher.OnInstall = c.prober.GossipNow
-	c.table.Age, c.prober.OnSameRevision = c.watcher.Age, c.watcher.MarkCurrent
+	c.table.Age, c.prober.OnSameVersion = c.watcher.Age, c.watcher.MarkCurrent
 	c.operator.OnInstall = c.prober.GossipNow
 }
 
@@ -187,7 +187,7 @@
 
 // fetchRecords fetches a peer's records, including its suspect requests.
 func (c *Core) fetchRecords(ctx context.Context, address netip.AddrPort) (peer.RecordsReply, error) {
-	return c.links.FetchRecords(ctx, address, 0)
+	return c.links.FetchRecords(ctx, address, blackboard.Version{})
 }
 
 // seedAddresses returns the peer addresses from the settings and from the
@@ -218,7 +218,7 @@
 // fetchConfiguration fetches the changes since the current configuration from a
 // peer and installs the result. It tries a second time if the result cannot be
 // installed.
-func (c *Core) fetchConfiguration(ctx context.Context, address netip.AddrPort, _ uint64) {
+func (c *Core) fetchConfiguration(ctx context.Context, address netip.AddrPort, _ blackboard.Version) {
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
 	for range 2 {
--- a/lentilward/currency_test.go
+++ b/lentilward/currency_test.go
@@ -15,6 +15,7 @@
 
 	standin "lentilward.org/lentilstand/platform"
 	"lentilward.org/lentilward/balance"
+	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/mirror"
 	"lentilward.org/lentilward/peer"
@@ -257,20 +258,21 @@
 		g := p.startInstance(t, 1)
 		time.Sleep(2 * time.Second)
 		hanging, sound := netip.MustParseAddrPort("10.0.0.2:8102"), netip.MustParseAddrPort("10.0.0.3:8102")
-		newest := g.mirror.Revision() + 5
-		g.fetchRecords = func(ctx context.Context, address netip.AddrPort, _ uint64) (peer.RecordsReply, error) {
+		newest := g.mirror.Version()
+		newest.Revision += 5
+		g.fetchRecords = func(ctx context.Context, address netip.AddrPort, _ blackboard.Version) (peer.RecordsReply, error) {
 			if address == hanging {
 				<-ctx.Done()
 				return peer.RecordsReply{}, ctx.Err()
 			}
-			return peer.RecordsReply{Delta: mirror.Delta{Revision: newest}}, nil
+			return peer.RecordsReply{Delta: mirror.Delta{Era: newest.Era, Revision: newest.Revision}}, nil
 		}
-		go g.prober.OnNewerRevision(p.ctx, hanging, newest)
+		go g.prober.OnNewerVersion(p.ctx, hanging, newest)
 		time.Sleep(100 * time.Millisecond)
-		go g.prober.OnNewerRevision(p.ctx, sound, newest)
+		go g.prober.OnNewerVersion(p.ctx, sound, newest)
 		time.Sleep(time.Second)
-		if got := g.mirror.Revision(); got != newest {
-			t.Fatalf("revision %d a second after a peer had announced %d", got, newest)
+		if got := g.mirror.Version(); got != newest {
+			t.Fatalf("version %v a second after a peer had announced %v", got, newest)
 		}
 	})
 }
--- a/lentilward/fleet/ownership_test.go
+++ b/lentilward/fleet/ownership_test.go
@@ -43,7 +43,7 @@
 		p.table = member.NewTable(p.board, blackboard.Member{Name: fmt.Sprintf("i%d", i), Address: p.address, Incarnation: 1}, time.Now)
 		p.prober = member.NewProber(p.board, p.table)
 		p.prober.Seeds = func(context.Context) []netip.AddrPort { return c.addresses() }
-		p.prober.OnNewerRevision = func(context.Context, netip.AddrPort, uint64) {}
+		p.prober.OnNewerVersion = func(context.Context, netip.AddrPort, blackboard.Version) {}
 		p.prober.Ping = func(ctx context.Context, to netip.AddrPort, gossip member.Gossip) (member.Gossip, error) {
 			return c.ping(ctx, p, c[to.Port()-1], gossip)
 		}
--- a/lentilward/fleet_model_test.go
+++ b/lentilward/fleet_model_test.go
@@ -17,6 +17,7 @@
 
 	standin "lentilward.org/lentilstand/platform"
 	"lentilward.org/lentilward/balance"
+	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/conn"
 	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/peer"
@@ -144,7 +145,7 @@
 		_, err := g.prober.Ping(ctx, target, g.table.NextGossip())
 		return err
 	}
-	g.fetchRecords = func(ctx context.Context, to netip.AddrPort, since uint64) (peer.RecordsReply, error) {
+	g.fetchRecords = func(ctx context.Context, to netip.AddrPort, since blackboard.Version) (peer.RecordsReply, error) {
 		other, err := m.deliver(ctx, n, to)
 		if err != nil {
 			return peer.RecordsReply{}, err
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -83,9 +82,9 @@
 	peersCheckedAt atomic.Pointer[time.Time]
 	// listen opens a listener at one of the instance's addresses.
 	listen func(address netip.AddrPort) (net.Listener, error)
-	// fetchRecords fetches the records that are newer than a revision from a
+	// fetchRecords fetches the records that are newer than a version from a
 	// peer.
-	fetchRecords func(ctx context.Context, peer netip.AddrPort, since uint64) (peer.RecordsReply, error)
+	fetchRecords func(ctx context.Context, peer netip.AddrPort, since blackboard.Version) (peer.RecordsReply, error)
 }
 
 // newGateway creates the components and connects them.
@@ -148,16 +147,16 @@
 	g.peers = peer.NewServer(g.board, peer.NewPermits(g.board), traffic, g.log)
 	g.peers.Memory = g.links.Memory
 	g.table = member.NewTable(g.board, self, time.Now)
-	g.table.Revision = g.mirror.Revision
+	g.table.Version = g.mirror.Version
 	g.table.Age = g.follower.Age
 	g.table.NamesLimit = func() bool { return g.directory.ServersNamingLimit() > 0 }
 	g.prober = member.NewProber(g.board, g.table)
 	g.prober.Ping = g.links.Ping
 	g.prober.PingVia = g.links.PingVia
 	g.prober.Seeds = func(context.Context) []netip.AddrPort { return g.seedAddresses() }
-	g.prober.OnNewerRevision = newRecordFetcher(g.mirror.Revision, g.fetchFromPeer).handleAnnouncement
-	g.prober.NeedsMember = func() bool { return g.mirror.Revision() == 0 }
-	g.prober.OnSameRevision = g.follower.MarkCurrent
+	g.prober.OnNewerVersion = newRecordFetcher(g.mirror.Version, g.fetchFromPeer).handleAnnouncement
+	g.prober.NeedsMember = func() bool { return g.mirror.Version().IsZero() }
+	g.prober.OnSameVersion = g.follower.MarkCurrent
 	g.peers.Ping = func(ctx context.Context, gossip member.Gossip) member.Gossip {
 		g.prober.HandleGossip(context.WithoutCancel(ctx), gossip)
 		return g.table.ReplyTo(gossip)
@@ -167,7 +166,7 @@
 		return err
 	}
 	g.connectSuspects()
-	g.peers.Records = func(since uint64) peer.RecordsReply {
+	g.peers.Records = func(since blackboard.Version) peer.RecordsReply {
 		// The age is read first, so that the delta is at least as new as what it is about.
 		age := g.follower.Age()
 		delta := g.mirror.Since(since)
@@ -205,16 +204,18 @@
 func (g *Gateway) fetchFromPeer(ctx context.Context, address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
-	since, begunAt := g.mirror.Revision(), time.Now()
+	since, begunAt := g.mirror.Version(), time.Now()
 	delta, err := g.fetchRecords(ctx, address, since)
 	if err != nil {
 		g.log.Info("fetching records from a peer failed", "peer", address, "since", since, "took", time.Since(begunAt), "error", err)
 		return
 	}
-	g.log.Debug("received records from a peer", "peer", address, "since", since, "revision", delta.Revision, "records", len(delta.Records),
+	g.log.Debug("received records from a peer", "peer", address, "since", since, "version", delta.Version(), "records", len(delta.Records),
 		"age", delta.Age, "took", time.Since(begunAt))
 	g.mirror.Merge(delta.Delta)
-	g.follower.MarkCurrent(delta.Age)
+	if g.mirror.Version().Era == delta.Era {
+		g.follower.MarkCurrent(delta.Age)
+	}
 	g.suspects.Merge(delta.Suspects)
 }
 
@@ -222,7 +223,7 @@
 // requests known before this process started.
 func (g *Gateway) transferState(ctx context.Context) {
 	fetch := func(ctx context.Context, address netip.AddrPort) (peer.RecordsReply, error) {
-		return g.fetchRecords(ctx, address, g.mirror.Revision())
+		return g.fetchRecords(ctx, address, g.mirror.Version())
 	}
 	stateTransfer{board: g.board, suspects: g.suspects, log: g.log, fetch: fetch}.run(ctx)
 }
@@ -243,9 +244,9 @@
 		return 0
 	})
 	g.metrics.RegisterGauge("lentilward_records_revision", "Revision of the store up to which the records are known.",
-		func() float64 { return float64(g.mirror.Revision()) })
-	g.metrics.RegisterGauge("lentilward_store_era", "Era of the last reply of the store, which rises when the store comes back from an older copy.",
-		func() float64 { return float64(g.follower.Era()) })
+		func() float64 { return float64(g.mirror.Version().Revision) })
+	g.metrics.RegisterGauge("lentilward_store_era", "Era of the records, which rises when the store comes back from an older copy.",
+		func() float64 { return float64(g.mirror.Version().Era) })
 	g.metrics.RegisterGauge("lentilward_records_age_seconds", "Time since the records were last confirmed to be up to date.",
 		func() float64 { return g.follower.Age().Seconds() })
 	g.directory.NewServer = func(b domain.BackendServer) *balance.Server {
@@ -264,6 +265,10 @@
 		g.mergePoisonRequests(records)
 		g.prober.GossipNow()
 	}
+	g.mirror.OnNewEra = func(before blackboard.Version) {
+		g.follower.NoteReturn()
+		g.log.Warn("the store came back from an older copy", "before", before, "records", g.mirror.Version())
+	}
 }
 
 // connectCallers connects the HTTP server for callers with the search engine.
@@ -305,7 +310,7 @@
 	g.metrics.RegisterGauge("lentilward_held_frame_bytes", "Bytes of frames of peers that are held.",
 		func() float64 { return float64(g.links.Memory.Used()) })
 	g.callers.ConfigurationAge = g.follower.Age
-	g.callers.RecordVersion = func() string { return fmt.Sprintf("%d.%d", g.follower.Era(), g.mirror.Revision()) }
+	g.callers.RecordVersion = func() string { return g.mirror.Version().String() }
 	g.callers.IsConfigurationCurrent = func() bool {
 		return g.follower.Age() < time.Duration(g.options.Load().Apply) && !g.directory.HasPending()
 	}
--- a/lentilward/gateway_proof.go
+++ b/lentilward/gateway_proof.go
@@ -42,13 +42,13 @@
 func (g *Gateway) connectProof() {
 	g.fence = proof.New()
 	g.fence.OnChange = func(admits bool, age time.Duration) {
-		g.log.Warn("trust in the keys changed", "admits", admits, "proof-age", age, "revision", g.mirror.Revision(), "reads", g.readsStore())
+		g.log.Warn("trust in the keys changed", "admits", admits, "proof-age", age, "records", g.mirror.Version(), "reads", g.readsStore())
 	}
 	g.follower.Clock = func() (proof.Time, error) { return g.fence.Clock() }
 	g.follower.OnProof = g.directory.Prove
 	g.directory.OnProof = g.fence.Advance
 	g.peers.Proof = func(ctx context.Context, q proof.Question) (proof.Answer, error) {
-		return g.fence.Answer(ctx, q, g.mirror.Revision), nil
+		return g.fence.Answer(ctx, q, g.mirror.Version), nil
 	}
 	g.callers.AdmitsKeys = g.fence.Admits
 	isCurrent := g.callers.IsConfigurationCurrent
@@ -88,7 +88,7 @@
 // step.
 func (p *prover) step(ctx context.Context) (pause time.Duration) {
 	begunAt, age := time.Now(), p.fence.Age()
-	if p.fence.Within() == 0 || p.mirror.Revision() == 0 {
+	if p.fence.Within() == 0 || p.mirror.Version().IsZero() {
 		return proofCheckInterval
 	}
 	if p.board.Members.Load().Rank("store") < storeReaderCount {
@@ -189,8 +189,8 @@
 		}
 		return false
 	}
-	if answer.Revision == 0 || !g.awaitRevision(ctx, m, answer.Revision) {
-		g.log.Log(ctx, level, "a peer has no proof about the records at hand", "peer", m.Name, "theirs", answer.Revision, "revision", g.mirror.Revision())
+	if answer.Version().IsZero() || !g.awaitVersion(ctx, m, answer.Version()) {
+		g.log.Log(ctx, level, "a peer has no proof about the records at hand", "peer", m.Name, "theirs", answer.Version(), "records", g.mirror.Version())
 		return false
 	}
 	provenAt := answer.ProvenAt(asked)
@@ -205,15 +205,16 @@
 	return age < g.lateProofAge()
 }
 
-// awaitRevision fetches records from a peer if this instance does not have those up to a
-// revision, and reports whether it has them then.
-func (g *Gateway) awaitRevision(ctx context.Context, m blackboard.Member, revision uint64) bool {
-	if g.mirror.Revision() >= revision {
-		return true
+// awaitVersion fetches records from a peer if this instance does not have those up to a
+// version, and reports whether it has them then. A version of an earlier era says nothing
+// about the records at hand.
+func (g *Gateway) awaitVersion(ctx context.Context, m blackboard.Member, v blackboard.Version) bool {
+	if own := g.mirror.Version(); own.Compare(v) >= 0 {
+		return own.Era == v.Era
 	}
 	ctx, cancel := context.WithTimeout(ctx, proofFetchTimeout)
 	defer cancel()
 	// This returns at once if another fetch from the peer is running.
-	g.prober.OnNewerRevision(ctx, m.Address, revision)
-	return g.follower.AwaitRevision(ctx, revision, proofCallTimeout)
+	g.prober.OnNewerVersion(ctx, m.Address, v)
+	return g.follower.AwaitVersion(ctx, v, proofCallTimeout) && g.mirror.Version().Era == v.Era
 }
--- a/lentilward/gateway_store.go
+++ b/lentilward/gateway_store.go
@@ -12,7 +12,7 @@
 	"lentilward.org/platform"
 )
 
-// emptyPrefix precedes no key of the store: a read of it has only the store's revision.
+// emptyPrefix precedes no key of the store: a read of it has only the store's version.
 const emptyPrefix = "lentilward/none/"
 
 // connectStore connects the components that read and write the store.
@@ -28,12 +28,12 @@
 		}
 		return toMirrorPage(page, err)
 	}
-	g.follower.ReadRevision = func(ctx context.Context) (uint64, error) {
+	g.follower.ReadVersion = func(ctx context.Context) (blackboard.Version, error) {
 		page, err := store.Range(ctx, emptyPrefix, "")
 		if err != nil {
-			return 0, err
+			return blackboard.Version{}, err
 		}
-		return page.Revision, nil
+		return blackboard.Version{Era: page.Era, Revision: page.Revision}, nil
 	}
 	g.follower.MaxWatchWait = watchWait(time.Duration(g.options.Load().Apply))
 	g.follower.ReadsStore = g.readsStore
@@ -63,7 +63,9 @@
 	if err != nil {
 		return nil, err
 	}
-	page := &mirror.Page{Era: p.Era, Revision: p.Revision, More: p.More, Records: make([]mirror.Record, 0, len(p.Items))}
+	page := &mirror.Page{
+		Version: blackboard.Version{Era: p.Era, Revision: p.Revision}, More: p.More, Records: make([]mirror.Record, 0, len(p.Items)),
+	}
 	for _, i := range p.Items {
 		page.Records = append(page.Records, mirror.Record{
 			Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted,
@@ -78,7 +80,7 @@
 // their replica is out of date.
 func (g *Gateway) readsStore() bool {
 	uptime := time.Since(g.fleet.started)
-	if g.mirror.Revision() == 0 {
+	if g.mirror.Version().IsZero() {
 		return uptime > firstStoreReadDelay || slices.Contains(g.options.Load().Peers, g.options.Load().Listen.Peers)
 	}
 	if g.follower.Age() > g.maxReplicaAge() {
--- a/lentilward/member/member_test.go
+++ b/lentilward/member/member_test.go
@@ -54,7 +54,7 @@
 	n.prober.Seeds = func(context.Context) []netip.AddrPort {
 		return []netip.AddrPort{netip.AddrPortFrom(address.Addr(), 1000)}
 	}
-	n.prober.OnNewerRevision = func(_ context.Context, from netip.AddrPort, _ uint64) {
+	n.prober.OnNewerVersion = func(_ context.Context, from netip.AddrPort, _ blackboard.Version) {
 		if n.board.Install(w.node(from).board.Config.Load()) {
 			n.prober.GossipNow()
 		}
@@ -261,9 +261,9 @@
 	table := NewTable(blackboard.New(blackboard.LocalInstance{Name: "a"}), blackboard.Member{Name: "a"}, time.Now)
 	revision, age := uint64(1), 5*time.Second
 	// Each of the two is followed by the arrival of revision 2.
-	table.Revision = func() uint64 {
+	table.Version = func() blackboard.Version {
 		defer func() { revision, age = 2, 0 }()
-		return revision
+		return blackboard.Version{Revision: revision}
 	}
 	table.Age = func() time.Duration {
 		defer func() { revision, age = 2, 0 }()
--- a/lentilward/member/prober.go
+++ b/lentilward/member/prober.go
@@ -43,20 +43,20 @@
 	PingVia func(ctx context.Context, helper, target netip.AddrPort) error
 	// Seeds returns the addresses at which instances are expected.
 	Seeds func(ctx context.Context) []netip.AddrPort
-	// OnNewerRevision is called when the member at this address announces a
-	// revision that is newer than this instance's own.
-	OnNewerRevision func(ctx context.Context, address netip.AddrPort, revision uint64)
-	// OnSameRevision is called when a member has the same revision as this
-	// instance; age is how long ago that revision was last known to be the
+	// OnNewerVersion is called when the member at this address announces a
+	// version that is newer than this instance's own.
+	OnNewerVersion func(ctx context.Context, address netip.AddrPort, version blackboard.Version)
+	// OnSameVersion is called when a member has the same version as this
+	// instance; age is how long ago that version was last known to be the
 	// newest.
-	OnSameRevision func(age time.Duration)
+	OnSameVersion func(age time.Duration)
 	// NeedsMember reports whether this instance needs to contact a member urgently.
 	NeedsMember func() bool
 }
 
 // NewProber returns a prober. Set its fields before Run.
 func NewProber(board *blackboard.Board, table *Table) *Prober {
-	return &Prober{board: board, table: table, gossipNow: make(chan struct{}, 1), OnSameRevision: func(time.Duration) {}, NeedsMember: func() bool { return false }}
+	return &Prober{board: board, table: table, gossipNow: make(chan struct{}, 1), OnSameVersion: func(time.Duration) {}, NeedsMember: func() bool { return false }}
 }
 
 // GossipNow makes the prober send gossip to a few members at once, so that a new
@@ -163,17 +163,17 @@
 	return nil
 }
 
-// HandleGossip merges a received message, and calls OnNewerRevision or
-// OnSameRevision according to the sender's revision.
+// HandleGossip merges a received message, and calls OnNewerVersion or
+// OnSameVersion according to the sender's version.
 func (p *Prober) HandleGossip(ctx context.Context, g Gossip) {
 	p.table.Receive(g)
 	if p.table.IsBehind(g) {
 		p.GossipNow()
 	}
-	switch own := p.table.Revision(); {
-	case g.From.Revision > own:
-		go p.OnNewerRevision(ctx, g.From.Address, g.From.Revision)
-	case g.From.Revision == own:
-		p.OnSameRevision(g.Age)
+	switch own, theirs := p.table.Version(), g.Version(); theirs.Compare(own) {
+	case 1:
+		go p.OnNewerVersion(ctx, g.From.Address, theirs)
+	case 0:
+		p.OnSameVersion(g.Age)
 	}
 }
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -39,7 +39,9 @@
 type Gossip struct {
 	From    blackboard.Member   `cbor:"from"`
 	Updates []blackboard.Member `cbor:"news"`
-	// Age is how long ago the sender's revision was last known to be the newest.
+	// Era is the era of the sender's revision; 0 if there are no eras.
+	Era uint64 `cbor:"era,omitempty"`
+	// Age is how long ago the sender's version was last known to be the newest.
 	Age time.Duration `cbor:"age,omitempty"`
 	// CPUShares has the shares of a core, in thousandths, of the sender and of the members
 	// in Updates that tell theirs, by name.
@@ -52,15 +54,20 @@
 	LimitAge time.Duration `cbor:"limit-age,omitempty"`
 }
 
+// Version returns the version of the configuration or records that the sender has.
+func (g Gossip) Version() blackboard.Version {
+	return blackboard.Version{Era: g.Era, Revision: g.From.Revision}
+}
+
 // Table holds this instance's view of the members. It is the only writer of the
 // Members cell.
 type Table struct {
 	board *blackboard.Board
 	now   func() time.Time
-	// Revision returns the revision of the configuration or records that this
+	// Version returns the version of the configuration or records that this
 	// instance can send to its peers.
-	Revision func() uint64
-	// Age returns how long ago that revision was last known to be the newest.
+	Version func() blackboard.Version
+	// Age returns how long ago that version was last known to be the newest.
 	Age func() time.Duration
 	// NamesLimit reports whether a backend server names a limit to this instance.
 	NamesLimit func() bool
@@ -86,7 +93,7 @@
 // NewTable returns a table with this instance as its only member.
 func NewTable(board *blackboard.Board, self blackboard.Member, now func() time.Time) *Table {
 	t := &Table{board: board, now: now, self: self, members: make(map[string]*entry), lastChange: now()}
-	t.Revision = func() uint64 { return board.Config.Load().Revision }
+	t.Version = func() blackboard.Version { return blackboard.Version{Revision: board.Config.Load().Revision} }
 	t.Age, t.NamesLimit = func() time.Duration { return 0 }, func() bool { return false }
 	t.publish()
 	return t
@@ -96,12 +103,12 @@
 func (t *Table) Self() blackboard.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.localMember()
+	return t.localMember(t.Version())
 }
 
-func (t *Table) localMember() blackboard.Member {
+func (t *Table) localMember(v blackboard.Version) blackboard.Member {
 	self := t.self
-	self.Revision = t.Revision()
+	self.Revision = v.Revision
 	return self
 }
 
@@ -169,9 +176,10 @@
 		}
 	}
 	slices.SortFunc(pending, func(a, b *entry) int { return cmp.Compare(a.timesSent, b.timesSent) })
-	// The age is read first, so that the revision is at least the one that it is about.
+	// The age is read first, so that the version is at least the one that it is about.
 	g := Gossip{Age: t.Age()}
-	g.From = t.localMember()
+	version := t.Version()
+	g.From, g.Era = t.localMember(version), version.Era
 	for _, e := range pending[:min(len(pending), maxUpdatesPerMessage)] {
 		e.timesSent++
 		g.Updates = append(g.Updates, e.Member)
@@ -207,7 +215,7 @@
 	t.mergeUpdate(g.From)
 	if e := t.members[g.From.Name]; e != nil {
 		e.LastSeen = t.now()
-		e.Revision = max(e.Revision, g.From.Revision)
+		e.Revision = g.From.Revision
 	}
 	for _, m := range g.Updates {
 		t.mergeUpdate(m)
@@ -336,7 +344,7 @@
 	view := &blackboard.Members{Self: t.self.Name, LastChange: t.lastChange, MissingSeeds: t.countMissingSeeds(), ToldCount: t.told}
 	t.updateMajority(view.MissingSeeds)
 	view.HasMajority, view.MajoritySince = !t.majoritySince.IsZero(), t.majoritySince
-	view.List = append(view.List, t.localMember())
+	view.List = append(view.List, t.localMember(t.Version()))
 	for _, e := range t.members {
 		view.List = append(view.List, e.Member)
 	}
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/proof"
 )
 
@@ -36,8 +37,17 @@
 )
 
 // ErrCompacted is returned by Watch if the store has compacted the changes after
-// the revision.
-var ErrCompacted = errors.New("store has compacted the changes after the revision")
+// the revision, or does not have the revision.
+var ErrCompacted = errors.New("store does not have the changes after the revision")
+
+// Errors of a listing.
+var (
+	errNewEra = errors.New("store came back from an older copy while its records were listed")
+	errOldEra = errors.New("reply is of an era before that of the records at hand")
+	// errOlderRevision means that the store does not have the records at hand and does not
+	// say that it came back from an older copy.
+	errOlderRevision = errors.New("store is at an older revision than the records at hand")
+)
 
 // errConfirm is the cause of the cancellation of a watch in favour of another one that
 // returns at once.
@@ -50,9 +60,8 @@
 // Page is one page of a listing, or the changes that a watch returned.
 type Page struct {
 	Records []Record
-	// Era is the era of the store, which rises when it comes back from an older copy.
-	Era, Revision uint64
-	More          bool
+	Version blackboard.Version
+	More    bool
 }
 
 // Follower keeps a mirror up to date with the store by listing and watching it.
@@ -68,8 +77,6 @@
 	// later confirmation shows that the store serves again; returnedAt is when it did.
 	failedAt, returnedAt time.Time
 	isAway               bool
-	// era is the era of the last reply of the store.
-	era uint64
 
 	// List returns one page of the records whose keys come after a key.
 	List func(ctx context.Context, after string) (*Page, error)
@@ -81,8 +88,8 @@
 	// ReadsStore reports whether this instance is to read the store; the others get
 	// the records from peers.
 	ReadsStore func() bool
-	// ReadRevision returns the present revision of the store.
-	ReadRevision func(ctx context.Context) (uint64, error)
+	// ReadVersion returns the present version of the store.
+	ReadVersion func(ctx context.Context) (blackboard.Version, error)
 	// Clock reads the boot clock. OnProof is called after each answer of the store with the
 	// latest moment at which the store is known to have had no newer records than the mirror.
 	Clock   func() (proof.Time, error)
@@ -105,7 +112,7 @@
 	for ctx.Err() == nil {
 		if reads := f.ReadsStore(); reads != reading {
 			reading = reads
-			f.log.Info("reading of the store changed", "reads", reads, "age", f.Age(), "revision", f.mirror.Revision())
+			f.log.Info("reading of the store changed", "reads", reads, "age", f.Age(), "records", f.mirror.Version())
 		}
 		if !reading && !f.awaitConfirmRequest(ctx, idleCheckInterval) {
 			continue
@@ -121,7 +128,7 @@
 		}
 		f.recordFailure(begunAt)
 		f.log.Warn("reading the store failed", "error", err, "took", time.Since(begunAt),
-			"revision", f.mirror.Revision(), "age", f.Age(), "pause", backoff)
+			"records", f.mirror.Version(), "age", f.Age(), "pause", backoff)
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -152,10 +159,10 @@
 	return false
 }
 
-// sync watches for changes once, or lists all records if the mirror is empty or if the
-// changes were compacted.
+// sync watches for changes once, or lists all records if the mirror is empty, if the
+// changes were compacted or if the store has come back from an older copy.
 func (f *Follower) sync(ctx context.Context) error {
-	if f.mirror.Revision() == 0 {
+	if f.mirror.Version().IsZero() {
 		return f.listAll(ctx)
 	}
 	// Jitter keeps the watches of several instances from ending together.
@@ -169,8 +176,8 @@
 	if errors.Is(err, errConfirm) {
 		err = f.watch(ctx, confirmWait)
 	}
-	if errors.Is(err, ErrCompacted) {
-		f.log.Info("store has compacted its history; listing all records", "revision", f.mirror.Revision())
+	if errors.Is(err, ErrCompacted) || errors.Is(err, errNewEra) {
+		f.log.Info("listing all records", "why", err, "records", f.mirror.Version())
 		return f.listAll(ctx)
 	}
 	return err
@@ -194,15 +201,22 @@
 	}
 	asked, clockErr := f.Clock()
 	begunAt := time.Now()
-	page, err := f.Watch(watchCtx, f.mirror.Revision(), wait)
+	after := f.mirror.Version()
+	page, err := f.Watch(watchCtx, after.Revision, wait)
 	if errors.Is(err, ErrCompacted) {
 		return err
 	}
 	if err != nil {
 		return errors.Join(err, context.Cause(watchCtx))
 	}
-	f.observeEra(page)
-	f.mirror.Apply(page.Records, page.Revision)
+	switch {
+	case page.Version.Era > after.Era:
+		// The revisions have passed that of the watch, which has missed the changes below.
+		return errNewEra
+	case page.Version.Era < after.Era:
+		return errOldEra
+	}
+	f.mirror.Apply(page.Records, page.Version)
 	// The store replied no later than at the end of the wait, even if the reply was
 	// on its way for longer.
 	f.MarkCurrent(max(0, time.Since(begunAt)-wait))
@@ -217,11 +231,11 @@
 }
 
 // listAll reads all records. The pages do not form a snapshot, so the mirror gets
-// the revision of the first page, and the next watch returns the changes since.
+// the version of the first page, and the next watch returns the changes since.
 func (f *Follower) listAll(ctx context.Context) error {
 	var records []Record
-	var revision uint64
-	after := ""
+	var version blackboard.Version
+	known, after := f.mirror.Version(), ""
 	asked, clockErr := f.Clock()
 	begunAt := time.Now()
 	for {
@@ -231,9 +245,11 @@
 		if err != nil {
 			return err
 		}
-		f.observeEra(page)
-		if revision == 0 {
-			revision = page.Revision
+		if version.IsZero() {
+			version = page.Version
+		}
+		if page.Version.Era != version.Era {
+			return errNewEra
 		}
 		records = append(records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
@@ -241,7 +257,13 @@
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
-	f.mirror.MergeListing(records, revision)
+	switch {
+	case version.Era < f.mirror.Version().Era:
+		return errOldEra
+	case version.Compare(known) < 0:
+		return errOlderRevision
+	}
+	f.mirror.MergeListing(records, version)
 	f.MarkCurrent(time.Since(begunAt))
 	if clockErr == nil {
 		f.OnProof(asked)
@@ -249,24 +271,6 @@
 	return nil
 }
 
-// observeEra logs that the store has come back from an older copy.
-func (f *Follower) observeEra(page *Page) {
-	f.mu.Lock()
-	before := f.era
-	f.era = page.Era
-	f.mu.Unlock()
-	if before != page.Era {
-		f.log.Warn("store replies in another era", "era", page.Era, "before", before, "store-revision", page.Revision, "revision", f.mirror.Revision())
-	}
-}
-
-// Era returns the era of the last reply of the store; 0 without one.
-func (f *Follower) Era() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.era
-}
-
 // neverAge is the age of records that were never confirmed.
 const neverAge = time.Hour
 
@@ -321,6 +325,13 @@
 	return time.Since(f.returnedAt)
 }
 
+// NoteReturn records that the store has just been seen to have come back from an older copy.
+func (f *Follower) NoteReturn() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isAway, f.returnedAt = false, time.Now()
+}
+
 // Confirm makes this instance ask the store at once whether the mirror is up to date,
 // also if it gets its records from peers.
 func (f *Follower) Confirm() {
--- a/lentilward/mirror/mirror.go
+++ b/lentilward/mirror/mirror.go
@@ -1,5 +1,5 @@
 // Package mirror keeps a local replica of the records in the platform's store,
-// versioned by the store's revisions, and updates it from the store or from peers.
+// versioned by the store's eras and revisions, and updates it from the store or from peers.
 package mirror
 
 import (
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"lentilward.org/lentilward/blackboard"
 )
 
 // Record is the last write or deletion of one key.
@@ -16,71 +18,87 @@
 	Value    []byte
 	Revision uint64
 	Deleted  bool
+	// Era is the era of the store in which this instance learned of the record.
+	Era uint64 `cbor:"-"`
 }
 
-// Delta is the difference between a revision and a mirror's present state.
+// Delta is the difference between a version and a mirror's present state.
 type Delta struct {
-	// Revision is the revision up to which the mirror has every change.
+	// Revision is the revision of the era up to which the mirror has every change.
 	Revision uint64   `cbor:"revision"`
+	Era      uint64   `cbor:"era,omitempty"`
 	Records  []Record `cbor:"records"`
 	// Whole is set if Records are all records that exist, so that others are deleted.
 	Whole bool `cbor:"whole,omitempty"`
-	// Age is how long ago the revision was last confirmed to be the newest.
+	// Age is how long ago the version was last confirmed to be the newest.
 	Age time.Duration `cbor:"age"`
 }
 
-// Mirror is a replica of the store's records. It keeps deleted records as
+// Version returns the version up to which the sender's mirror has every change.
+func (d Delta) Version() blackboard.Version {
+	return blackboard.Version{Era: d.Era, Revision: d.Revision}
+}
+
+// Mirror is a replica of the store's records in one era. It keeps deleted records as
 // tombstones, so that deltas for peers include deletions.
 type Mirror struct {
 	// handOn is held from a change until OnChange has returned, so that changes are
 	// handed on in the order in which they were made.
-	handOn   sync.Mutex
-	mu       sync.Mutex
-	records  map[string]Record
-	revision uint64
+	handOn  sync.Mutex
+	mu      sync.Mutex
+	records map[string]Record
+	version blackboard.Version
 	// deletionsSince is the revision from which on the tombstones are complete.
 	deletionsSince uint64
 	// OnChange is called with the changed records after each change. It must not
 	// change the mirror.
 	OnChange func(records []Record)
+	// OnNewEra is called after OnChange once the records are those of another era, with
+	// the version that they replace.
+	OnNewEra func(before blackboard.Version)
 }
 
 // New returns an empty mirror.
 func New() *Mirror {
-	return &Mirror{records: make(map[string]Record), OnChange: func([]Record) {}}
+	return &Mirror{records: make(map[string]Record), OnChange: func([]Record) {}, OnNewEra: func(blackboard.Version) {}}
 }
 
-// Revision returns the revision up to which the mirror has every change; 0 while
+// Version returns the version up to which the mirror has every change; zero while
 // the mirror is empty.
-func (m *Mirror) Revision() uint64 {
+func (m *Mirror) Version() blackboard.Version {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.revision
+	return m.version
 }
 
-// Since returns the changes after a revision, or all records if not every deletion
-// after it is known.
-func (m *Mirror) Since(revision uint64) Delta {
+// Since returns the changes after a version, or all records if not every deletion
+// after it is known or if it is of another era.
+func (m *Mirror) Since(v blackboard.Version) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := Delta{Revision: m.revision, Whole: revision < m.deletionsSince}
+	d := Delta{Era: m.version.Era, Revision: m.version.Revision, Whole: v.Era != m.version.Era || v.Revision < m.deletionsSince}
 	for _, r := range m.records {
-		if d.Whole && !r.Deleted || !d.Whole && r.Revision > revision {
+		if d.Whole && !r.Deleted || !d.Whole && r.Revision > v.Revision {
 			d.Records = append(d.Records, r)
 		}
 	}
 	return d
 }
 
-// Apply merges changes that bring the mirror up to the revision. They must be
-// complete since this mirror's revision, as the result of a watch from it is.
-func (m *Mirror) Apply(records []Record, revision uint64) {
+// Apply merges changes that bring the mirror up to the version. They must be
+// complete since this mirror's version, as the result of a watch from it is. Changes of
+// another era have no effect.
+func (m *Mirror) Apply(records []Record, v blackboard.Version) {
 	m.handOn.Lock()
 	defer m.handOn.Unlock()
 	m.mu.Lock()
+	if v.Era != m.version.Era {
+		m.mu.Unlock()
+		return
+	}
 	changed := m.mergeNewer(records)
 	m.mu.Unlock()
-	m.publish(changed, revision, false)
+	m.publish(changed, v.Revision, false)
 }
 
 // publish hands on changed records, and makes the revision known once that is done.
@@ -91,34 +109,71 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if revision <= m.revision {
+	if revision <= m.version.Revision {
 		return
 	}
-	m.revision = revision
+	m.version.Revision = revision
 	if whole {
 		// Records that were written and deleted in between are not known.
 		m.deletionsSince = revision
 	}
 }
 
-// Merge merges the result of another mirror's Since this mirror's revision.
+// Merge merges the result of another mirror's Since this mirror's version.
 func (m *Mirror) Merge(d Delta) {
 	if d.Whole {
-		m.MergeListing(d.Records, d.Revision)
+		m.MergeListing(d.Records, d.Version())
 		return
 	}
-	m.Apply(d.Records, d.Revision)
+	m.Apply(d.Records, d.Version())
+}
+
+// MergeListing merges a complete listing that began at a version. Records that are
+// missing from it become deleted, unless they are newer than the version. A listing of a
+// newer era replaces all records; one of an older era has no effect.
+func (m *Mirror) MergeListing(records []Record, v blackboard.Version) {
+	m.handOn.Lock()
+	defer m.handOn.Unlock()
+	switch before := m.Version(); {
+	case v.Era < before.Era:
+	case v.Era > before.Era:
+		m.replace(records, v)
+		if !before.IsZero() {
+			m.OnNewEra(before)
+		}
+	default:
+		m.mergeListing(records, v.Revision)
+	}
+}
+
+// replace replaces all records by those of a newer era. The caller holds handOn.
+func (m *Mirror) replace(listed []Record, v blackboard.Version) {
+	records := make(map[string]Record, len(listed))
+	changed := make([]Record, 0, len(listed))
+	for _, r := range listed {
+		r.Era = v.Era
+		records[r.Key] = r
+		changed = append(changed, r)
+	}
+	m.mu.Lock()
+	for key, r := range m.records {
+		if _, isListed := records[key]; !isListed && !r.Deleted {
+			changed = append(changed, Record{Key: key, Revision: v.Revision, Deleted: true, Era: v.Era})
+		}
+	}
+	m.mu.Unlock()
+	m.OnChange(changed)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.records, m.version, m.deletionsSince = records, v, v.Revision
 }
 
-// MergeListing merges a complete listing that began at a revision. Records that are
-// missing from it become deleted, unless they are newer than the revision.
-func (m *Mirror) MergeListing(records []Record, revision uint64) {
+// mergeListing merges a listing of the present era. The caller holds handOn.
+func (m *Mirror) mergeListing(records []Record, revision uint64) {
 	isListed := make(map[string]bool, len(records))
 	for _, r := range records {
 		isListed[r.Key] = true
 	}
-	m.handOn.Lock()
-	defer m.handOn.Unlock()
 	m.mu.Lock()
 	for key, r := range m.records {
 		if !isListed[key] && !r.Deleted && r.Revision <= revision {
@@ -140,6 +195,7 @@
 		if exists && (r.Revision < old.Revision || isSame) {
 			continue
 		}
+		r.Era = m.version.Era
 		m.records[r.Key] = r
 		changed = append(changed, r)
 	}
--- a/lentilward/mirror/mirror_test.go
+++ b/lentilward/mirror/mirror_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"runtime"
 	"slices"
 	"sync"
@@ -15,6 +16,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"lentilward.org/lentilward/blackboard"
 )
 
 // fakeStore is a store in memory whose history can be compacted.
@@ -23,6 +26,7 @@
 	records  map[string]Record
 	history  []Record
 	revision uint64
+	era      uint64
 	// compactedRevision is the revision up to which the history is compacted.
 	compactedRevision uint64
 }
@@ -34,6 +38,22 @@
 	return s.revision
 }
 
+// version returns the version of the last write.
+func (s *fakeStore) version() blackboard.Version {
+	return blackboard.Version{Era: s.era, Revision: s.currentRevision()}
+}
+
+// copy returns a store with the present state, and restore takes over that of a copy as the
+// next era.
+func (s *fakeStore) copy() *fakeStore {
+	return &fakeStore{records: maps.Clone(s.records), history: slices.Clone(s.history), revision: s.revision}
+}
+
+func (s *fakeStore) restore(c *fakeStore) {
+	s.records, s.history, s.revision = maps.Clone(c.records), slices.Clone(c.history), c.revision
+	s.era++
+}
+
 // compact makes watches from before the present revision fail.
 func (s *fakeStore) compact() {
 	s.mu.Lock()
@@ -78,28 +98,30 @@
 }
 
 // Guards against mirrors that end up different from the store, or return to an
-// older revision of a key, when changes, listings and the deltas of other mirrors
-// arrive in any order.
+// older version of a key, when changes, listings and the deltas of other mirrors
+// arrive in any order, and the store comes back from copies in between.
 func TestMirrorsConvergeInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &fakeStore{records: make(map[string]Record)}
+		older := s.copy()
 		mirrors := []*Mirror{New(), New(), New()}
-		latest := make([]map[string]uint64, len(mirrors))
+		latest := make([]map[string]blackboard.Version, len(mirrors))
 		for i, m := range mirrors {
-			latest[i] = make(map[string]uint64)
+			latest[i] = make(map[string]blackboard.Version)
 			m.OnChange = func(records []Record) {
 				for _, r := range records {
-					if r.Revision < latest[i][r.Key] {
-						t.Fatalf("mirror %d returned to an older revision of %s", i, r.Key)
+					v := blackboard.Version{Era: r.Era, Revision: r.Revision}
+					if v.Compare(latest[i][r.Key]) < 0 {
+						t.Fatalf("mirror %d returned to an older version of %s", i, r.Key)
 					}
-					latest[i][r.Key] = r.Revision
+					latest[i][r.Key] = v
 				}
 			}
 		}
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(mirrors)-1).Draw(t, "mirror")
 			m := mirrors[i]
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0:
 				s.write(fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key")), false)
 			case 1:
@@ -108,17 +130,22 @@
 					s.write(key, true)
 				}
 			case 2:
-				if m.Revision() > 0 {
-					m.Apply(s.changesSince(m.Revision()), s.revision)
+				// The follower lists a store whose era is not that of its mirror.
+				if v := m.Version(); !v.IsZero() && v.Era == s.era {
+					m.Apply(s.changesSince(v.Revision), s.version())
 				}
 			case 3:
-				m.MergeListing(s.list(), s.revision)
+				m.MergeListing(s.list(), s.version())
 			case 4:
-				m.Merge(mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "peer")].Since(m.Revision()))
+				m.Merge(mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "peer")].Since(m.Version()))
+			case 5:
+				older = s.copy()
+			case 6:
+				s.restore(older)
 			}
 		}
 		for i, m := range mirrors {
-			m.MergeListing(s.list(), s.revision)
+			m.MergeListing(s.list(), s.version())
 			got := m.List("")
 			if len(got) != len(s.records) {
 				t.Fatalf("mirror %d has %d records, want the %d of the store", i, len(got), len(s.records))
@@ -149,9 +176,9 @@
 		revisions = append(revisions, records[0].Revision)
 	}
 	var applied sync.WaitGroup
-	applied.Go(func() { m.Apply([]Record{{Key: "a", Revision: 1}}, 1) })
+	applied.Go(func() { m.Apply([]Record{{Key: "a", Revision: 1}}, blackboard.Version{Revision: 1}) })
 	<-entered
-	applied.Go(func() { m.Apply([]Record{{Key: "a", Revision: 2, Deleted: true}}, 2) })
+	applied.Go(func() { m.Apply([]Record{{Key: "a", Revision: 2, Deleted: true}}, blackboard.Version{Revision: 2}) })
 	for range 10_000 {
 		runtime.Gosched()
 	}
@@ -167,15 +194,15 @@
 func TestRevisionIsKnownOnceItsChangesAreHandedOn(t *testing.T) {
 	m := New()
 	m.OnChange = func(records []Record) {
-		if got := m.Revision(); got >= records[0].Revision {
+		if got := m.Version().Revision; got >= records[0].Revision {
 			t.Errorf("revision %d is known before its change is handed on", got)
 		}
 	}
-	m.MergeListing([]Record{{Key: "a", Revision: 4}}, 4)
-	m.Apply([]Record{{Key: "a", Revision: 5}}, 5)
-	m.MergeListing([]Record{{Key: "a", Revision: 7}}, 7)
-	if m.Revision() != 7 {
-		t.Fatalf("revision %d, want 7", m.Revision())
+	m.MergeListing([]Record{{Key: "a", Revision: 4}}, blackboard.Version{Revision: 4})
+	m.Apply([]Record{{Key: "a", Revision: 5}}, blackboard.Version{Revision: 5})
+	m.MergeListing([]Record{{Key: "a", Revision: 7}}, blackboard.Version{Revision: 7})
+	if m.Version().Revision != 7 {
+		t.Fatalf("revision %d, want 7", m.Version().Revision)
 	}
 }
 
@@ -195,23 +222,23 @@
 				s.write(key, false)
 			case step == 1 && exists:
 				s.write(key, true)
-			case step == 2 && m.Revision() > 0:
-				m.Apply(s.changesSince(m.Revision()), s.revision)
+			case step == 2 && !m.Version().IsZero():
+				m.Apply(s.changesSince(m.Version().Revision), s.version())
 			case step == 3:
-				m.MergeListing(s.list(), s.revision)
+				m.MergeListing(s.list(), s.version())
 			case step == 4:
-				m.Merge(mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "peer")].Since(m.Revision()))
+				m.Merge(mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "peer")].Since(m.Version()))
 			}
 		}
 		newest := mirrors[0]
 		for _, m := range mirrors {
-			if m.Revision() > newest.Revision() {
+			if m.Version().Revision > newest.Version().Revision {
 				newest = m
 			}
 		}
 		want := newest.List("")
 		for i, m := range mirrors {
-			m.Merge(newest.Since(m.Revision()))
+			m.Merge(newest.Since(m.Version()))
 			if got := m.List(""); len(got) != len(want) {
 				t.Fatalf("mirror %d has %v, want %v as at the peer with the same revision", i, got, want)
 			}
@@ -223,7 +250,7 @@
 	f := NewFollower(New(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	f.MaxWatchWait = 5 * time.Second
 	f.List = func(context.Context, string) (*Page, error) {
-		return &Page{Records: s.list(), Revision: s.currentRevision()}, nil
+		return &Page{Records: s.list(), Version: s.version()}, nil
 	}
 	f.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*Page, error) {
 		s.mu.Lock()
@@ -238,7 +265,7 @@
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		return &Page{Records: s.changesSince(after), Revision: s.currentRevision()}, nil
+		return &Page{Records: s.changesSince(after), Version: s.version()}, nil
 	}
 	return f
 }
--- a/lentilward/mirror/proof_test.go
+++ b/lentilward/mirror/proof_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/proof"
 )
 
@@ -25,7 +26,7 @@
 	begun := time.Now()
 	f.Clock = func() (proof.Time, error) { return proof.Time(time.Since(begun)), nil }
 	f.OnProof = proven.set
-	f.ReadRevision = func(context.Context) (uint64, error) { return s.currentRevision(), nil }
+	f.ReadVersion = func(context.Context) (blackboard.Version, error) { return s.version(), nil }
 	return f, proven
 }
 
@@ -67,9 +68,9 @@
 				f.Watch = func(context.Context, uint64, time.Duration) (*Page, error) {
 					time.Sleep(c.takes)
 					if c.changed {
-						return &Page{Revision: 9, Records: []Record{{Key: "b", Revision: 9}}}, nil
+						return &Page{Version: blackboard.Version{Revision: 9}, Records: []Record{{Key: "b", Revision: 9}}}, nil
 					}
-					return &Page{Revision: 1}, nil
+					return &Page{Version: blackboard.Version{Revision: 1}}, nil
 				}
 				asked, _ = f.Clock()
 				proven.set(asked.Add(nothing))
@@ -95,7 +96,9 @@
 		}
 	}
 	f.Clock = func() (proof.Time, error) { return 0, errors.New("no clock") }
-	f.Watch = func(context.Context, uint64, time.Duration) (*Page, error) { return &Page{Revision: 1}, nil }
+	f.Watch = func(context.Context, uint64, time.Duration) (*Page, error) {
+		return &Page{Version: blackboard.Version{Revision: 1}}, nil
+	}
 	if err := f.watch(t.Context(), time.Second); err != nil {
 		t.Error(err)
 	}
@@ -117,14 +120,14 @@
 		f.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*Page, error) {
 			if deaf.Load() {
 				sleep(ctx, wait)
-				return &Page{Revision: after}, ctx.Err()
+				return &Page{Version: blackboard.Version{Revision: after}}, ctx.Err()
 			}
 			return watch(ctx, after, wait)
 		}
-		f.ReadRevision = func(context.Context) (uint64, error) {
-			revision := s.currentRevision()
+		f.ReadVersion = func(context.Context) (blackboard.Version, error) {
+			version := s.version()
 			time.Sleep(200 * time.Millisecond)
-			return revision, nil
+			return version, nil
 		}
 		f.MaxWatchWait = time.Second
 		runFollower(t, f)
@@ -149,7 +152,7 @@
 			t.Fatalf("proved %v, want at least %v; %v", proven.get(), asked, err)
 		}
 		before = proven.get()
-		f.ReadRevision = func(context.Context) (uint64, error) { return 0, errors.New("refused") }
+		f.ReadVersion = func(context.Context) (blackboard.Version, error) { return blackboard.Version{}, errors.New("refused") }
 		if err := f.Prove(t.Context()); err == nil || proven.get() != before {
 			t.Fatalf("proved %v without an answer", proven.get())
 		}
--- a/lentilward/mirror/prove.go
+++ b/lentilward/mirror/prove.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"lentilward.org/lentilward/blackboard"
 	"lentilward.org/lentilward/proof"
 )
 
@@ -22,7 +23,7 @@
 // errBehind means that the mirror has not got changes that the store has.
 var errBehind = errors.New("changes that the store has did not come in time")
 
-// Prove asks the store for its revision and reports the moment of the question to OnProof
+// Prove asks the store for its version and reports the moment of the question to OnProof
 // once the mirror has the records up to it. The watches can't be relied on for this: one that
 // is begun while they hear nothing does not report older changes either.
 func (f *Follower) Prove(ctx context.Context) error {
@@ -33,25 +34,28 @@
 	begunAt := time.Now()
 	readCtx, cancel := context.WithTimeout(ctx, proveTimeout)
 	defer cancel()
-	revision, err := f.ReadRevision(readCtx)
+	version, err := f.ReadVersion(readCtx)
 	if err != nil {
 		return err
 	}
-	if !f.AwaitRevision(ctx, revision, watchDelay) {
+	if !f.AwaitVersion(ctx, version, watchDelay) {
 		f.Confirm()
-		if !f.AwaitRevision(ctx, revision, catchUpTimeout) {
+		if !f.AwaitVersion(ctx, version, catchUpTimeout) {
 			return errBehind
 		}
 	}
+	if version.Era < f.mirror.Version().Era {
+		return errOldEra
+	}
 	f.MarkCurrent(time.Since(begunAt))
 	f.OnProof(asked)
 	return nil
 }
 
-// AwaitRevision waits until the mirror has the records up to a revision, and reports whether
+// AwaitVersion waits until the mirror has the records up to a version, and reports whether
 // it has them within a duration.
-func (f *Follower) AwaitRevision(ctx context.Context, revision uint64, d time.Duration) bool {
-	for waited := time.Duration(0); f.mirror.Revision() < revision; waited += catchUpInterval {
+func (f *Follower) AwaitVersion(ctx context.Context, v blackboard.Version, d time.Duration) bool {
+	for waited := time.Duration(0); f.mirror.Version().Compare(v) < 0; waited += catchUpInterval {
 		if waited >= d || ctx.Err() != nil {
 			return false
 		}
--- a/lentilward/peer/calls.go
+++ b/lentilward/peer/calls.go
@@ -51,9 +51,9 @@
 
 // FetchRecords requests from a peer the records changed after a revision, and its
 // suspect requests.
-func (l *Links) FetchRecords(ctx context.Context, address netip.AddrPort, since uint64) (RecordsReply, error) {
+func (l *Links) FetchRecords(ctx context.Context, address netip.AddrPort, since blackboard.Version) (RecordsReply, error) {
 	var reply RecordsReply
-	err := l.call(ctx, address, kindRecords, recordsBody{Since: since}, &reply)
+	err := l.call(ctx, address, kindRecords, recordsBody{Since: since.Revision, Era: since.Era}, &reply)
 	return reply, err
 }
 
--- a/lentilward/peer/frame.go
+++ b/lentilward/peer/frame.go
@@ -64,16 +64,17 @@
 }
 
 // RecordsReply is the reply to a request for records: a peer's changes after a
-// revision, and all of its suspect requests.
+// version, and all of its suspect requests.
 type RecordsReply struct {
 	mirror.Delta
 	Suspects []suspect.Report `cbor:"suspects,omitempty"`
 }
 
-// recordsBody requests the records changed after a revision; the reply is a
+// recordsBody requests the records changed after a revision of an era; the reply is a
 // RecordsReply.
 type recordsBody struct {
 	Since uint64 `cbor:"since"`
+	Era   uint64 `cbor:"era,omitempty"`
 }
 
 // cancelBody cancels a gather. Abandoned is set if the caller has disconnected; the
--- a/lentilward/peer/link_test.go
+++ b/lentilward/peer/link_test.go
@@ -40,7 +40,9 @@
 	}
 	board := blackboard.New(blackboard.LocalInstance{})
 	s := NewServer(board, NewPermits(board), &Traffic{}, slog.New(slog.DiscardHandler))
-	s.Records = func(uint64) RecordsReply { return RecordsReply{Delta: mirror.Delta{Revision: 500, Records: records}} }
+	s.Records = func(blackboard.Version) RecordsReply {
+		return RecordsReply{Delta: mirror.Delta{Revision: 500, Records: records}}
+	}
 	server := httptest.NewServer(s.Handler())
 	defer server.Close()
 	var read atomic.Int64
@@ -50,7 +52,7 @@
 		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		return countingConn{c, &read}, err
 	}
-	reply, err := l.FetchRecords(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), 0)
+	reply, err := l.FetchRecords(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), blackboard.Version{})
 	if err != nil || len(reply.Records) != len(records) || string(reply.Records[499].Value) != string(records[499].Value) {
 		t.Fatalf("%d records, %v", len(reply.Records), err)
 	}
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -52,7 +52,7 @@
 	EndTrial   func(known suspect.Report)
 	// Records returns the records changed after a revision, and the suspect
 	// requests.
-	Records func(since uint64) RecordsReply
+	Records func(since blackboard.Version) RecordsReply
 	// Proof answers a peer that asks for this instance's proof.
 	Proof func(ctx context.Context, q proof.Question) (proof.Answer, error)
 	// Gather runs part of a search for a peer, and passes each partial result to
@@ -80,7 +80,7 @@
 func NewServer(board *blackboard.Board, permits *Permits, traffic *Traffic, log *slog.Logger) *Server {
 	return &Server{
 		board: board, permits: permits, traffic: traffic, log: log,
-		Records: func(uint64) RecordsReply { return RecordsReply{} },
+		Records: func(blackboard.Version) RecordsReply { return RecordsReply{} },
 		Proof:   noProof,
 		Gather:  func(context.Context, scatter.Gather, func(scatter.Partial)) {},
 
@@ -196,7 +196,9 @@
 	case kindConfig:
 		return handleBody(f, func(b configBody) (any, error) { return s.board.Config.Load().DeltaFrom(b.Since), nil })
 	case kindRecords:
-		return handleBody(f, func(b recordsBody) (any, error) { return s.Records(b.Since), nil })
+		return handleBody(f, func(b recordsBody) (any, error) {
+			return s.Records(blackboard.Version{Era: b.Era, Revision: b.Since}), nil
+		})
 	case kindProof:
 		return handleBody(f, func(b proof.Question) (any, error) { return s.Proof(ctx, b) })
 	case kindPermit:
--- a/lentilward/proof/fence.go
+++ b/lentilward/proof/fence.go
@@ -128,22 +128,29 @@
 
 // Answer is an instance's proof.
 type Answer struct {
-	// Revision is the revision of the records that the proof is about, or a later one; 0
-	// if there is no proof.
+	// Revision and Era are the version of the records that the proof is about, or a later
+	// one; 0 if there is no proof.
 	Revision uint64 `cbor:"revision"`
+	Era      uint64 `cbor:"era,omitempty"`
 	// Age is how long before the arrival of the question the proof was. It is negative if
 	// the proof was made while the answer waited.
 	Age time.Duration `cbor:"age"`
 }
 
+// Version returns the version of the records that the proof is about, or a later one; zero if
+// there is no proof.
+func (a Answer) Version() blackboard.Version {
+	return blackboard.Version{Era: a.Era, Revision: a.Revision}
+}
+
 // ProvenAt returns the time of the proof on the clock of the instance that has asked at
 // that time. It is never later than the proof itself, since the question arrived after it
 // was asked.
 func (a Answer) ProvenAt(asked Time) Time { return asked.Add(-a.Age) }
 
 // Answer answers a question once the proof is young enough, the wait is over or the
-// context ends. revision returns the revision of the records.
-func (f *Fence) Answer(ctx context.Context, q Question, revision func() uint64) Answer {
+// context ends. version returns the version of the records.
+func (f *Fence) Answer(ctx context.Context, q Question, version func() blackboard.Version) Answer {
 	arrived, err := f.Clock()
 	if err != nil {
 		return Answer{}
@@ -168,8 +175,9 @@
 	if proven == nil {
 		return Answer{}
 	}
-	// The proof is read first, so that the revision is at least the one that it is about.
-	return Answer{Revision: revision(), Age: arrived.Sub(*proven)}
+	// The proof is read first, so that the version is at least the one that it is about.
+	v := version()
+	return Answer{Revision: v.Revision, Era: v.Era, Age: arrived.Sub(*proven)}
 }
 
 // Changed returns a channel that is closed when there is a newer proof.
--- a/lentilward/proof/fence_test.go
+++ b/lentilward/proof/fence_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"lentilward.org/lentilward/blackboard"
 )
 
 // newTestFence returns a fence whose clock is the bubble's, with an offset that tests
@@ -134,7 +136,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		reader, readerSuspended := newTestFence(5 * time.Second)
 		asker, askerSuspended := newTestFence(5 * time.Second)
-		revision := func() uint64 { return 7 }
+		version := func() blackboard.Version { return blackboard.Version{Revision: 7} }
 		reader.advanceBy(t, 0)
 		provenAt := time.Now()
 		for _, step := range []time.Duration{0, time.Second, 30 * time.Second} {
@@ -142,7 +144,7 @@
 			*askerSuspended += step
 			asked, _ := asker.Clock()
 			time.Sleep(step)
-			answer := reader.Answer(t.Context(), Question{Age: time.Hour}, revision)
+			answer := reader.Answer(t.Context(), Question{Age: time.Hour}, version)
 			*readerSuspended += step
 			time.Sleep(step)
 			asker.Advance(answer.ProvenAt(asked))
@@ -158,8 +160,8 @@
 func TestAnswerWaitsForYoungerProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, _ := newTestFence(5 * time.Second)
-		revision := func() uint64 { return 7 }
-		if got := f.Answer(t.Context(), Question{Age: time.Hour}, revision); got.Revision != 0 {
+		version := func() blackboard.Version { return blackboard.Version{Revision: 7} }
+		if got := f.Answer(t.Context(), Question{Age: time.Hour}, version); got.Revision != 0 {
 			t.Errorf("%+v without a proof", got)
 		}
 		f.advanceBy(t, 0)
@@ -167,16 +169,16 @@
 		begun := time.Now()
 		time.AfterFunc(300*time.Millisecond, func() { f.advanceBy(t, 1900*time.Millisecond) })
 		time.AfterFunc(600*time.Millisecond, func() { f.advanceBy(t, 100*time.Millisecond) })
-		got := f.Answer(t.Context(), Question{Age: time.Second, Wait: time.Second}, revision)
+		got := f.Answer(t.Context(), Question{Age: time.Second, Wait: time.Second}, version)
 		if got.Age != -500*time.Millisecond || time.Since(begun) != 600*time.Millisecond {
 			t.Errorf("age %v after %v", got.Age, time.Since(begun))
 		}
 		begun = time.Now()
-		if got := f.Answer(t.Context(), Question{Wait: time.Hour}, revision); got.Age != 100*time.Millisecond || time.Since(begun) != maxHold {
+		if got := f.Answer(t.Context(), Question{Wait: time.Hour}, version); got.Age != 100*time.Millisecond || time.Since(begun) != maxHold {
 			t.Errorf("age %v after %v", got.Age, time.Since(begun))
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		f.Answer(ctx, Question{Wait: time.Hour}, revision)
+		f.Answer(ctx, Question{Wait: time.Hour}, version)
 	})
 }
--- a/lentilward/record_fetcher.go
+++ b/lentilward/record_fetcher.go
@@ -5,17 +5,19 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"lentilward.org/lentilward/blackboard"
 )
 
 // fetchPatience is how long a fetch from one peer keeps fetches from others
 // waiting. Afterwards the peer is taken to hang, and the next fetch starts beside it.
 const fetchPatience = 300 * time.Millisecond
 
-// recordFetcher fetches records from the peers that announce newer revisions. It
+// recordFetcher fetches records from the peers that announce newer versions. It
 // makes one fetch at a time while peers reply.
 type recordFetcher struct {
-	// revision returns this instance's own revision.
-	revision func() uint64
+	// version returns this instance's own version.
+	version func() blackboard.Version
 	// fetch fetches newer records from a peer and merges them.
 	fetch func(ctx context.Context, peer netip.AddrPort)
 
@@ -26,13 +28,13 @@
 	active sync.Map
 }
 
-func newRecordFetcher(revision func() uint64, fetch func(context.Context, netip.AddrPort)) *recordFetcher {
-	return &recordFetcher{revision: revision, fetch: fetch, turn: make(chan struct{}, 1)}
+func newRecordFetcher(version func() blackboard.Version, fetch func(context.Context, netip.AddrPort)) *recordFetcher {
+	return &recordFetcher{version: version, fetch: fetch, turn: make(chan struct{}, 1)}
 }
 
-// handleAnnouncement fetches records from a peer that announced a revision, unless
+// handleAnnouncement fetches records from a peer that announced a version, unless
 // they have arrived from another peer by the time it is this fetch's turn.
-func (f *recordFetcher) handleAnnouncement(ctx context.Context, peer netip.AddrPort, revision uint64) {
+func (f *recordFetcher) handleAnnouncement(ctx context.Context, peer netip.AddrPort, v blackboard.Version) {
 	if _, active := f.active.LoadOrStore(peer, true); active {
 		return
 	}
@@ -44,7 +46,7 @@
 	}
 	endTurn := sync.OnceFunc(func() { <-f.turn })
 	defer endTurn()
-	if f.revision() >= revision {
+	if f.version().Compare(v) >= 0 {
 		return
 	}
 	patience := time.AfterFunc(fetchPatience, endTurn)
--- a/lentilward/revocation_test.go
+++ b/lentilward/revocation_test.go
@@ -289,7 +289,7 @@
 		p.network.isolate("10.0.0.1")
 		p.suspended[1].Add(int64(10 * time.Second))
 		for range 10 {
-			g.prober.HandleGossip(p.ctx, member.Gossip{From: blackboard.Member{Name: "n2", Address: netip.MustParseAddrPort("10.0.0.2:8102"), Revision: g.mirror.Revision()}})
+			g.prober.HandleGossip(p.ctx, member.Gossip{From: blackboard.Member{Name: "n2", Address: netip.MustParseAddrPort("10.0.0.2:8102"), Revision: g.mirror.Version().Revision}, Era: g.mirror.Version().Era})
 			if g.follower.Age() > 0 {
 				t.Fatal("the ping does not confirm the records")
 			}
@@ -358,7 +358,7 @@
 				t.Fatalf("status %d from an instance that was started without the store", got)
 			}
 		}
-		if restarted.mirror.Revision() == 0 {
+		if restarted.mirror.Version().IsZero() {
 			t.Fatal("the instance has no records; the test shows nothing")
 		}
 	})
