Keep what was in force while the store has only an older copy of it

What callers would see: after a return from a copy, a server that drains or has left is used again until its record is written again or lapses (DRAIN), a data centre whose withdrawal the copy does not have gets work (EVAC), and a key whose withdrawal it does not have counts as confirmed.

Cause: the directory took every record of the store for the newest. That of a copy is older than what was in force.

Change: a server's record of a new era is ignored unless its process or heartbeat is newer than what was known of it; servers that were removed are remembered for two minutes. A withdrawal that the new era does not have stays for 10 s, or until an operator lifts it. A configuration older than the one in force was ignored before; while the store has one, and for 3 s after a return, it proves nothing about keys. Within one era nothing changes.

--- a/lentilward/directory/apply_server.go
+++ b/lentilward/directory/apply_server.go
@@ -25,6 +25,11 @@
 		}
 		return nil
 	}
+	if d.isOutdated(r, b) {
+		d.log.Info("record of a backend server is older than what is known of it; ignoring it", "id", b.ID, "service", b.Service,
+			"draining", b.Draining, "sequence", b.Sequence, "era", r.Era, "revision", r.Revision)
+		return nil
+	}
 	cause := pace.Started
 	if tracked != nil && (tracked.Incarnation != b.Incarnation || tracked.Address != b.Address || tracked.Service != b.Service || d.changesVersion(tracked, b)) {
 		d.removeServer(r.Key, tracked, "restarted")
@@ -51,6 +56,6 @@
 	if b.ColdFor > 0 {
 		tracked.server.SetCold(now.Add(b.ColdFor))
 	}
-	tracked.BackendServer, tracked.deleted, tracked.removeAt = b, false, time.Time{}
+	tracked.BackendServer, tracked.era, tracked.deleted, tracked.removeAt = b, r.Era, false, time.Time{}
 	return nil
 }
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -103,8 +103,15 @@
 	pendingProof proof.Time
 
 	configuration *domain.Configuration
-	withdrawn     map[string]bool
-	servers       map[string]*trackedServer
+	// withdrawn has the withdrawn data centres.
+	withdrawn map[string]withdrawal
+	servers   map[string]*trackedServer
+	// removed has the servers that were removed lately.
+	removed map[string]knownServer
+	// newEraAt is when the store was last seen to have come back from an older copy.
+	// storeIsBehind is set while its configuration is older than the one in force.
+	newEraAt      atomic.Pointer[time.Time]
+	storeIsBehind atomic.Bool
 	services      map[string]*balance.Service
 	routes        map[string]*balance.Route
 	admissions    map[string]*admission.Limit
@@ -127,6 +134,8 @@
 	// ahead is set while connections to the server are opened ahead because this instance
 	// is a holder.
 	ahead bool
+	// era is the era of the store in which the record was learned.
+	era uint64
 	// deleted is set while the server's record is deleted.
 	deleted bool
 	// removeAt is when the server is due for removal; zero if it is not.
@@ -139,7 +148,7 @@
 func New(format RecordFormat, log *slog.Logger) *Directory {
 	d := &Directory{
 		recordFormat: format, log: log, wake: make(chan struct{}, 1),
-		withdrawn: make(map[string]bool), servers: make(map[string]*trackedServer),
+		withdrawn: make(map[string]withdrawal), removed: make(map[string]knownServer), servers: make(map[string]*trackedServer),
 		services: make(map[string]*balance.Service), routes: make(map[string]*balance.Route),
 		admissions: make(map[string]*admission.Limit), pendingProof: proof.None, OnProof: func(proof.Time) {},
 	}
@@ -250,8 +259,7 @@
 			d.Rollouts.Apply(r, knownAt, now)
 		default:
 			if dataCentre, ok := d.recordFormat.Withdrawn(r.Key); ok {
-				d.withdrawn[dataCentre] = !r.Deleted
-				d.log.Info("withdrawal of a data centre changed", "name", dataCentre, "withdrawn", !r.Deleted, "revision", r.Revision)
+				d.applyWithdrawal(dataCentre, r, now)
 			}
 		}
 	}
@@ -262,7 +270,8 @@
 
 func (d *Directory) applyConfiguration(r mirror.Record) {
 	if r.Deleted {
-		d.log.Error("configuration was deleted; keeping the last one", "revision", r.Revision)
+		d.log.Error("configuration was deleted; keeping the last one", "era", r.Era, "revision", r.Revision)
+		d.storeIsBehind.Store(d.configuration != nil)
 		return
 	}
 	c, err := d.recordFormat.Configuration(r.Value)
@@ -271,11 +280,14 @@
 		return
 	}
 	if d.configuration != nil && c.Version < d.configuration.Version {
-		d.log.Error("configuration is older than the one in force; ignoring it", "version", c.Version, "in-force", d.configuration.Version)
+		d.log.Warn("configuration is older than the one in force; ignoring it", "version", c.Version, "in-force", d.configuration.Version,
+			"era", r.Era, "revision", r.Revision)
+		d.storeIsBehind.Store(true)
 		return
 	}
 	d.configuration = c
-	d.log.Info("configuration in force", "version", c.Version, "revision", r.Revision, "malformed", len(c.Malformed))
+	d.storeIsBehind.Store(false)
+	d.log.Info("configuration in force", "version", c.Version, "era", r.Era, "revision", r.Revision, "malformed", len(c.Malformed))
 	for _, err := range c.Malformed[:min(len(c.Malformed), maxLoggedMalformed)] {
 		d.log.Error("part of the configuration is malformed; the rest is in force", "version", c.Version, "error", err)
 	}
--- a/lentilward/directory/removal.go
+++ b/lentilward/directory/removal.go
@@ -92,6 +92,11 @@
 		return d.recheckAt
 	}
 	var next time.Time
+	for _, w := range d.withdrawn {
+		if !w.liftAt.IsZero() && (next.IsZero() || w.liftAt.Before(next)) {
+			next = w.liftAt
+		}
+	}
 	for _, tracked := range d.servers {
 		if !tracked.removeAt.IsZero() && (next.IsZero() || tracked.removeAt.Before(next)) {
 			next = tracked.removeAt
@@ -104,5 +109,6 @@
 	tracked.server.SetOutOfService(true)
 	tracked.server.Pool.Close()
 	delete(d.servers, key)
+	d.rememberRemoved(key, tracked)
 	d.log.Info("backend server removed", "id", tracked.ID, "service", tracked.Service, "why", cause)
 }
--- a/lentilward/directory/snapshot.go
+++ b/lentilward/directory/snapshot.go
@@ -15,6 +15,7 @@
 func (d *Directory) rebuild(now time.Time) {
 	byService, outOfUse := make(map[string][]*balance.Server), make(map[string][]OutOfService)
 	unconfirmed := false
+	d.liftWithdrawals(now)
 	for key, tracked := range d.servers {
 		if !tracked.removeAt.IsZero() && !now.Before(tracked.removeAt) {
 			if d.isRemovalConfirmed(tracked) {
@@ -23,12 +24,12 @@
 			}
 			unconfirmed = true
 		}
-		outOfService := tracked.Draining || d.withdrawn[tracked.DataCentre]
+		outOfService := tracked.Draining || d.isWithdrawn(tracked.DataCentre)
 		if tracked.server.SetOutOfService(outOfService) && outOfService {
 			tracked.server.Pool.CloseIdle()
 		}
 		if outOfService {
-			outOfUse[tracked.Service] = append(outOfUse[tracked.Service], OutOfService{tracked.server, tracked.Draining, d.withdrawn[tracked.DataCentre]})
+			outOfUse[tracked.Service] = append(outOfUse[tracked.Service], OutOfService{tracked.server, tracked.Draining, d.isWithdrawn(tracked.DataCentre)})
 		} else {
 			byService[tracked.Service] = append(byService[tracked.Service], tracked.server)
 		}
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -265,9 +265,10 @@
 		g.mergePoisonRequests(records)
 		g.prober.GossipNow()
 	}
-	g.mirror.OnNewEra = func(before blackboard.Version) {
+	g.mirror.OnNewEra = func(before, after blackboard.Version) {
 		g.follower.NoteReturn()
-		g.log.Warn("the store came back from an older copy", "before", before, "records", g.mirror.Version())
+		g.directory.NoteNewEra()
+		g.log.Warn("the store came back from an older copy", "before", before, "records", after)
 	}
 }
 
--- a/lentilward/mirror/mirror.go
+++ b/lentilward/mirror/mirror.go
@@ -53,14 +53,14 @@
 	// OnChange is called with the changed records after each change. It must not
 	// change the mirror.
 	OnChange func(records []Record)
-	// OnNewEra is called after OnChange once the records are those of another era, with
-	// the version that they replace.
-	OnNewEra func(before blackboard.Version)
+	// OnNewEra is called before OnChange with the records of another era, with the version
+	// that they replace and their own.
+	OnNewEra func(before, after blackboard.Version)
 }
 
 // New returns an empty mirror.
 func New() *Mirror {
-	return &Mirror{records: make(map[string]Record), OnChange: func([]Record) {}, OnNewEra: func(blackboard.Version) {}}
+	return &Mirror{records: make(map[string]Record), OnChange: func([]Record) {}, OnNewEra: func(_, _ blackboard.Version) {}}
 }
 
 // Version returns the version up to which the mirror has every change; zero while
@@ -138,10 +138,10 @@
 	switch before := m.Version(); {
 	case v.Compare(before) < 0:
 	case v.Era > before.Era:
-		m.replace(records, v)
 		if !before.IsZero() {
-			m.OnNewEra(before)
+			m.OnNewEra(before, v)
 		}
+		m.replace(records, v)
 	default:
 		m.mergeListing(records, v.Revision)
 	}
--- a/schema/domain/domain.go
+++ b/schema/domain/domain.go
@@ -122,6 +122,8 @@
 	ColdFor time.Duration
 	// Incarnation differs between successive processes with the same ID.
 	Incarnation int64
+	// Sequence rises with each heartbeat of the process.
+	Sequence float64
 	// Version is the version of the server's software.
 	Version string
 }
