Let replies of an older era confirm nothing

A peer may tell of another era while a watch of the older one is under way. Its reply changed no record, but the records of the new era counted as confirmed by it, and a proof was taken from it. It now ends with an error, and so does a listing in the same case, also if the peer tells of the era at its very end.

TestListingsThatDoNotHelpAreRepeatedWithAPause guards the pause between listings that do not help.

--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -217,6 +217,10 @@
 		return errOldEra
 	}
 	f.mirror.Apply(page.Records, page.Version)
+	if f.mirror.Version().Era != page.Version.Era {
+		// A peer has told of another era meanwhile, of which the reply says nothing.
+		return errOldEra
+	}
 	// The store replied no later than at the end of the wait, even if the reply was
 	// on its way for longer.
 	f.MarkCurrent(max(0, time.Since(begunAt)-wait))
@@ -257,13 +261,13 @@
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
-	switch {
-	case version.Era < f.mirror.Version().Era:
-		return errOldEra
-	case version.Compare(known) < 0:
+	if version.Era == known.Era && version.Revision < known.Revision {
 		return errOlderRevision
 	}
 	f.mirror.MergeListing(records, version)
+	if f.mirror.Version().Era != version.Era {
+		return errOldEra
+	}
 	f.MarkCurrent(time.Since(begunAt))
 	if clockErr == nil {
 		f.OnProof(asked)
--- a/lentilward/mirror/mirror_test.go
+++ b/lentilward/mirror/mirror_test.go
@@ -311,6 +311,78 @@
 	})
 }
 
+// Guards against records that count as current because of a reply that the store made before
+// it came back from an older copy, of which a peer has told meanwhile.
+func TestReplyOfAnOlderEraConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{records: make(map[string]Record)}
+		s.write("a", false)
+		f := newTestFollower(s)
+		if err := f.listAll(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		peer := s.copy()
+		peer.restore(peer.copy())
+		hearOfNewEra := func() { f.mirror.Merge(Delta{Era: 1, Revision: 1, Records: peer.list(), Whole: true}) }
+		watch, list := f.Watch, f.List
+		f.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*Page, error) {
+			hearOfNewEra()
+			return watch(ctx, after, wait)
+		}
+		if err := f.watch(t.Context(), time.Second); !errors.Is(err, errOldEra) {
+			t.Errorf("watch: %v, want errOldEra", err)
+		}
+		f.List = func(ctx context.Context, after string) (*Page, error) {
+			hearOfNewEra()
+			return list(ctx, after)
+		}
+		if err := f.listAll(t.Context()); !errors.Is(err, errOldEra) {
+			t.Errorf("listing: %v, want errOldEra", err)
+		}
+		if age := f.Age(); age < time.Minute {
+			t.Errorf("age %v, want a minute or more", age)
+		}
+	})
+}
+
+// Guards against a store that is asked without a pause while it does not have the revision at
+// hand and does not say that it came back from an older copy, and against a listing whose
+// pages are of different eras.
+func TestListingsThatDoNotHelpAreRepeatedWithAPause(t *testing.T) {
+	for _, step := range []uint64{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeStore{records: make(map[string]Record)}
+			s.write("a", false)
+			older := s.copy()
+			s.write("b", false)
+			f := newTestFollower(s)
+			var calls, era atomic.Int64
+			watch := f.Watch
+			f.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*Page, error) {
+				calls.Add(1)
+				return watch(ctx, after, wait)
+			}
+			f.List = func(_ context.Context, after string) (*Page, error) {
+				calls.Add(1)
+				// With a step of 1 each page is of another era.
+				v := blackboard.Version{Era: uint64(era.Add(int64(step))), Revision: s.currentRevision()}
+				return &Page{Records: s.list(), Version: v, More: step > 0 && after == ""}, nil
+			}
+			if step == 0 {
+				f.mirror.MergeListing(s.list(), s.version())
+				s.restore(older)
+				s.era, s.compactedRevision = 0, 3
+			}
+			runFollower(t, f)
+			time.Sleep(10 * time.Second)
+			if n := calls.Load(); n > 40 {
+				t.Errorf("step %d: %d calls to the store in 10 s", step, n)
+			}
+		})
+	}
+}
+
 func TestFollowerRelistsAfterCompaction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{records: make(map[string]Record)}
