Do not take a watch that heard nothing for proof of a later revision

What callers could see: an instance goes on using a server that has left, or an old configuration, although the store was never away: nothing in its log says that a change is missing, and its peers confirm its records.

Cause: a watch replies with the store's revision.

Change: the replica only takes over the revision of the last change that was reported. If the store names a later one, the watch confirms nothing, and the next one asks from the same revision after a pause.

Evidence: TestWatchThatHeardNothingOfAChangeDoesNotHideIt failed: age 0 without the change, and the deleted record still there 10 s after the compaction.

--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -216,7 +216,13 @@
 	case page.Version.Era < after.Era:
 		return errOldEra
 	}
-	f.mirror.Apply(page.Records, page.Version)
+	version := seenVersion(page, after)
+	f.mirror.Apply(page.Records, version)
+	if version != page.Version {
+		f.log.Warn("watch did not report all changes", "records", version, "store", page.Version, "changes", len(page.Records))
+		sleep(ctx, batchDelay)
+		return nil
+	}
 	if f.mirror.Version().Era != page.Version.Era {
 		// A peer has told of another era meanwhile, of which the reply says nothing.
 		return errOldEra
@@ -234,6 +240,15 @@
 	return nil
 }
 
+// seenVersion returns the version up to which a watch from a version has reported changes. It
+// is older than that of the store if the watch heard nothing of some changes.
+func seenVersion(page *Page, after blackboard.Version) blackboard.Version {
+	for _, r := range page.Records {
+		after.Revision = max(after.Revision, r.Revision)
+	}
+	return after
+}
+
 // listAll reads all records. The pages do not form a snapshot, so the mirror gets
 // the version of the first page, and the next watch returns the changes since.
 func (f *Follower) listAll(ctx context.Context) error {
--- a/lentilward/mirror/mirror_test.go
+++ b/lentilward/mirror/mirror_test.go
@@ -311,6 +311,40 @@
 	})
 }
 
+// Guards against an instance that never learns of a change, and whose peers take its records
+// for the newest, because a watch that heard nothing of the change replied with its revision.
+func TestWatchThatHeardNothingOfAChangeDoesNotHideIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{records: make(map[string]Record)}
+		s.write("a", false)
+		f := newTestFollower(s)
+		var deaf atomic.Bool
+		watch := f.Watch
+		f.Watch = func(ctx context.Context, after uint64, wait time.Duration) (*Page, error) {
+			if deaf.Load() {
+				sleep(ctx, 10*time.Millisecond)
+				return &Page{Version: s.version()}, ctx.Err()
+			}
+			return watch(ctx, after, wait)
+		}
+		runFollower(t, f)
+		time.Sleep(10 * time.Second)
+		deaf.Store(true)
+		time.Sleep(10 * time.Second)
+		s.write("a", true)
+		time.Sleep(time.Second)
+		if age := f.Age(); age < time.Second {
+			t.Errorf("age %v without the change", age)
+		}
+		s.compact()
+		deaf.Store(false)
+		time.Sleep(10 * time.Second)
+		if got := f.mirror.List(""); len(got) != 0 {
+			t.Errorf("mirror has %v, want nothing", got)
+		}
+	})
+}
+
 // Guards against records that count as current because of a reply that the store made before
 // it came back from an older copy, of which a peer has told meanwhile.
 func TestReplyOfAnOlderEraConfirmsNothing(t *testing.T) {
