Use live servers after a return although their records did not change

A server that reports its drain with the heartbeat that is known already was used on. Withdrawals held since the first of several returns.

Cause: a record that is not newer than what is known was ignored for good. But a record is written anew only when more than its heartbeat changes, so that the one of a live server may never be written again, or verbatim; and a deletion that was learned in the new era was compared as if it were of the old one.

Change: a record that is not newer confirms a server in use. One that would bring back a server that left, or an earlier process, is held and counts 10 s after the last return if the store still has it. It never ends a drain of the same process; a drain always counts. The hold of withdrawals is the same.

--- a/lentilward/directory/apply_server.go
+++ b/lentilward/directory/apply_server.go
@@ -11,9 +11,10 @@
 // was deleted.
 func (d *Directory) applyServer(r mirror.Record, now time.Time) *trackedServer {
 	tracked := d.servers[r.Key]
+	delete(d.held, r.Key)
 	if r.Deleted {
 		if tracked != nil {
-			tracked.deleted = true
+			tracked.deleted, tracked.era = true, r.Era
 		}
 		return tracked
 	}
@@ -25,9 +26,16 @@
 		}
 		return nil
 	}
-	if d.isOutdated(r, b) {
-		d.log.Info("record of a backend server is older than what is known of it; ignoring it", "id", b.ID, "service", b.Service,
-			"draining", b.Draining, "sequence", b.Sequence, "era", r.Era, "revision", r.Revision)
+	switch verdict := d.judgeCopy(r, b, now); verdict {
+	case keepKnown:
+		tracked.era, tracked.deleted, tracked.removeAt = r.Era, false, time.Time{}
+		return nil
+	case holdRecord, ignoreRecord:
+		if verdict == holdRecord {
+			d.held[r.Key] = r
+		}
+		d.log.Info("record of a backend server is older than what is known of it", "id", b.ID, "service", b.Service,
+			"held", verdict == holdRecord, "sequence", b.Sequence, "era", r.Era, "revision", r.Revision)
 		return nil
 	}
 	cause := pace.Started
--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -108,6 +108,9 @@
 	servers   map[string]*trackedServer
 	// removed has the servers that were removed lately.
 	removed map[string]knownServer
+	// held has the records of servers that are applied at the end of the hold after a return
+	// of the store, by key.
+	held map[string]mirror.Record
 	// newEraAt is when the store was last seen to have come back from an older copy.
 	// storeIsBehind is set while its configuration is older than the one in force.
 	newEraAt      atomic.Pointer[time.Time]
@@ -148,7 +151,7 @@
 func New(format RecordFormat, log *slog.Logger) *Directory {
 	d := &Directory{
 		recordFormat: format, log: log, wake: make(chan struct{}, 1),
-		withdrawn: make(map[string]withdrawal), removed: make(map[string]knownServer), servers: make(map[string]*trackedServer),
+		withdrawn: make(map[string]withdrawal), removed: make(map[string]knownServer), held: make(map[string]mirror.Record), servers: make(map[string]*trackedServer),
 		services: make(map[string]*balance.Service), routes: make(map[string]*balance.Route),
 		admissions: make(map[string]*admission.Limit), pendingProof: proof.None, OnProof: func(proof.Time) {},
 	}
@@ -259,11 +262,12 @@
 			d.Rollouts.Apply(r, knownAt, now)
 		default:
 			if dataCentre, ok := d.recordFormat.Withdrawn(r.Key); ok {
-				d.applyWithdrawal(dataCentre, r, now)
+				d.applyWithdrawal(dataCentre, r)
 			}
 		}
 	}
 	d.scheduleRemovals(deleted, knownAt, now)
+	d.endHold(now)
 	d.rebuild(now)
 	d.openAhead(ctx)
 }
--- a/lentilward/directory/era.go
+++ b/lentilward/directory/era.go
@@ -12,43 +12,94 @@
 // force before, until the operators and the servers have written theirs again.
 
 const (
-	// withdrawalHold is how long a data centre stays withdrawn after the return of the store
-	// if the copy does not have the withdrawal.
-	withdrawalHold = 10 * time.Second
-	// proofHold is how long after the return of the store its records prove nothing of what
-	// was withdrawn before.
+	// returnHold is how long after a return of the store what was in force goes before its
+	// records. Later, a record that nobody has written again is the truth.
+	returnHold = 10 * time.Second
+	// proofHold is how long after a return the records prove nothing of what was withdrawn
+	// before.
 	proofHold = 3 * time.Second
-	// removedServerTTL is how long a server that was removed is remembered. A copy is only
-	// some seconds old.
+	// removedServerTTL is how long a server that was removed is remembered.
 	removedServerTTL = 2 * time.Minute
 )
 
+// NoteNewEra records that the store has come back from an older copy.
+func (d *Directory) NoteNewEra() {
+	now := time.Now()
+	d.newEraAt.Store(&now)
+}
+
+// holdUntil returns until when what was in force before the last return goes before the
+// records of the store.
+func (d *Directory) holdUntil() time.Time {
+	if newEraAt := d.newEraAt.Load(); newEraAt != nil {
+		return newEraAt.Add(returnHold)
+	}
+	return time.Time{}
+}
+
 // knownServer is what was last known of a server: its process, its last heartbeat, and the
 // era of the store in which that was learned.
 type knownServer struct {
 	incarnation int64
 	sequence    float64
 	era         uint64
+	draining    bool
+	// gone is set if the record was deleted, other than by a possible mass expiry.
+	gone bool
 	// removedAt is when the server was removed; zero if it was not.
 	removedAt time.Time
 }
 
-// NoteNewEra records that the store has come back from an older copy.
-func (d *Directory) NoteNewEra() {
-	now := time.Now()
-	d.newEraAt.Store(&now)
+func (s *trackedServer) known() knownServer {
+	return knownServer{
+		incarnation: s.Incarnation, sequence: s.Sequence, era: s.era, draining: s.Draining, gone: s.deleted && !s.maybeMassExpiry,
+	}
 }
 
-// isOutdated reports whether the record of a server is not newer than what was known of the
-// server in an earlier era: the record is one of the copy, and the server may be draining or
-// have left since.
-func (d *Directory) isOutdated(r mirror.Record, b domain.BackendServer) bool {
-	known, found := d.removed[r.Key]
-	if tracked := d.servers[r.Key]; tracked != nil {
-		known, found = knownServer{incarnation: tracked.Incarnation, sequence: tracked.Sequence, era: tracked.era}, true
+// findKnown returns what is known of a server that is in use or was removed lately.
+func (d *Directory) findKnown(key string, now time.Time) (_ knownServer, found bool) {
+	if tracked := d.servers[key]; tracked != nil {
+		return tracked.known(), true
+	}
+	known, found := d.removed[key]
+	return known, found && now.Sub(known.removedAt) <= removedServerTTL
+}
+
+// copyVerdict says what to do with the record of a server.
+type copyVerdict uint8
+
+const (
+	// applyRecord means that the record is news.
+	applyRecord copyVerdict = iota
+	// keepKnown means that the server is in use and the record is not newer.
+	keepKnown
+	// holdRecord means that the record is of a copy from before the server left or was
+	// restarted, unless the store still has it after returnHold.
+	holdRecord
+	// ignoreRecord means that the record is of a copy from before the server began to drain.
+	ignoreRecord
+)
+
+// judgeCopy decides about a record that may be of a copy of the store: one of a later era
+// than what is known of the server, and not of a newer process or heartbeat.
+func (d *Directory) judgeCopy(r mirror.Record, b domain.BackendServer, now time.Time) copyVerdict {
+	known, found := d.findKnown(r.Key, now)
+	if !found || known.era >= r.Era || b.Draining && !known.draining {
+		return applyRecord
 	}
-	return found && known.era < r.Era &&
-		cmp.Or(cmp.Compare(b.Incarnation, known.incarnation), cmp.Compare(b.Sequence, known.sequence)) <= 0
+	sameProcess := b.Incarnation == known.incarnation
+	isNewer := cmp.Or(cmp.Compare(b.Incarnation, known.incarnation), cmp.Compare(b.Sequence, known.sequence)) > 0
+	switch {
+	case isNewer:
+		return applyRecord
+	case known.draining && sameProcess:
+		return ignoreRecord
+	case !now.Before(d.holdUntil()):
+		return applyRecord
+	case known.gone || !sameProcess:
+		return holdRecord
+	}
+	return keepKnown
 }
 
 // rememberRemoved remembers a server that is removed, and forgets those of long ago.
@@ -59,20 +110,22 @@
 			delete(d.removed, key)
 		}
 	}
-	d.removed[key] = knownServer{incarnation: tracked.Incarnation, sequence: tracked.Sequence, era: tracked.era, removedAt: now}
+	known := tracked.known()
+	known.gone, known.removedAt = true, now
+	d.removed[key] = known
 }
 
 // withdrawal is the state of a data centre that operators have withdrawn.
 type withdrawal struct {
 	// era is the era of the store in which the withdrawal was learned.
 	era uint64
-	// liftAt is when the data centre is in service again; zero if it is withdrawn.
-	liftAt time.Time
+	// missing is set if the store has come back without it.
+	missing bool
 }
 
 // applyWithdrawal applies the record of the withdrawal of a data centre. A withdrawal that
-// is missing after the return of the store stays in force for withdrawalHold.
-func (d *Directory) applyWithdrawal(dataCentre string, r mirror.Record, now time.Time) {
+// is missing after the return of the store stays in force for returnHold.
+func (d *Directory) applyWithdrawal(dataCentre string, r mirror.Record) {
 	known, withdrawn := d.withdrawn[dataCentre]
 	switch {
 	case !r.Deleted:
@@ -80,11 +133,11 @@
 	case !withdrawn:
 		return
 	case known.era < r.Era:
-		if known.liftAt.IsZero() {
-			known.liftAt = now.Add(withdrawalHold)
+		if !known.missing {
+			known.missing = true
 			d.withdrawn[dataCentre] = known
-			d.log.Warn("the store has come back without the withdrawal of a data centre; keeping it", "name", dataCentre,
-				"for", withdrawalHold, "era", r.Era, "revision", r.Revision)
+			d.log.Warn("the store has come back without the withdrawal of a data centre; keeping it for now", "name", dataCentre,
+				"until", d.holdUntil(), "era", r.Era, "revision", r.Revision)
 		}
 		return
 	default:
@@ -93,20 +146,37 @@
 	d.log.Info("withdrawal of a data centre changed", "name", dataCentre, "withdrawn", !r.Deleted, "era", r.Era, "revision", r.Revision)
 }
 
-// liftWithdrawals ends the withdrawals that were kept for withdrawalHold.
-func (d *Directory) liftWithdrawals(now time.Time) {
+// isWithdrawn reports whether a data centre must get no calls.
+func (d *Directory) isWithdrawn(dataCentre string) bool {
+	_, withdrawn := d.withdrawn[dataCentre]
+	return withdrawn
+}
+
+// endHold takes over what the store still has, or still lacks, returnHold after its return.
+func (d *Directory) endHold(now time.Time) {
+	if now.Before(d.holdUntil()) {
+		return
+	}
 	for dataCentre, w := range d.withdrawn {
-		if !w.liftAt.IsZero() && !now.Before(w.liftAt) {
+		if w.missing {
 			delete(d.withdrawn, dataCentre)
 			d.log.Info("withdrawal of a data centre changed", "name", dataCentre, "withdrawn", false, "era", w.era)
 		}
 	}
+	for _, r := range d.held {
+		d.applyServer(r, now)
+	}
+	clear(d.held)
 }
 
-// isWithdrawn reports whether a data centre must get no calls.
-func (d *Directory) isWithdrawn(dataCentre string) bool {
-	_, withdrawn := d.withdrawn[dataCentre]
-	return withdrawn
+// isHolding reports whether endHold has something to take over.
+func (d *Directory) isHolding() bool {
+	for _, w := range d.withdrawn {
+		if w.missing {
+			return true
+		}
+	}
+	return len(d.held) > 0
 }
 
 // provesWithdrawals reports whether the records of the store are new enough to prove that no
--- a/lentilward/directory/removal.go
+++ b/lentilward/directory/removal.go
@@ -92,10 +92,8 @@
 		return d.recheckAt
 	}
 	var next time.Time
-	for _, w := range d.withdrawn {
-		if !w.liftAt.IsZero() && (next.IsZero() || w.liftAt.Before(next)) {
-			next = w.liftAt
-		}
+	if d.isHolding() {
+		next = d.holdUntil()
 	}
 	for _, tracked := range d.servers {
 		if !tracked.removeAt.IsZero() && (next.IsZero() || tracked.removeAt.Before(next)) {
--- a/lentilward/directory/snapshot.go
+++ b/lentilward/directory/snapshot.go
@@ -15,7 +15,6 @@
 func (d *Directory) rebuild(now time.Time) {
 	byService, outOfUse := make(map[string][]*balance.Server), make(map[string][]OutOfService)
 	unconfirmed := false
-	d.liftWithdrawals(now)
 	for key, tracked := range d.servers {
 		if !tracked.removeAt.IsZero() && !now.Before(tracked.removeAt) {
 			if d.isRemovalConfirmed(tracked) {
