Do not trust keys of a copy on an instance that starts after a return

What callers would see: a key that was withdrawn just before a return of the store is accepted by an instance that starts after it, for as long as operators have not written the configuration again; found by the review.

Cause: such an instance has nothing older to compare with. It took the store's word at once, and also that of a peer whose proof was made before the return and is not about the records of the copy.

Change: for 10 s after a return gossip tells its age and the version of the configuration in force. Until its own is as new, and for 3 s after the return, an instance takes no proof. Proofs of an earlier era are not given to peers.

--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -113,11 +113,13 @@
 	held map[string]mirror.Record
 	// newEraAt is when the store was last seen to have come back from an older copy.
 	// storeIsBehind is set while its configuration is older than the one in force.
-	newEraAt      atomic.Pointer[time.Time]
-	storeIsBehind atomic.Bool
-	services      map[string]*balance.Service
-	routes        map[string]*balance.Route
-	admissions    map[string]*admission.Limit
+	newEraAt atomic.Pointer[time.Time]
+	// toldConfiguration is the latest version that a peer had in force when it told of a return.
+	storeIsBehind     atomic.Bool
+	toldConfiguration atomic.Uint64
+	services          map[string]*balance.Service
+	routes            map[string]*balance.Route
+	admissions        map[string]*admission.Limit
 	// confirmedAt is when the records that are applied were last confirmed.
 	confirmedAt time.Time
 	// recheckAt is when to check again whether due removals after a possible mass
--- a/lentilward/directory/era.go
+++ b/lentilward/directory/era.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"lentilward.org/lentilward/member"
 	"lentilward.org/lentilward/mirror"
 	"lentilward.org/schema/domain"
 )
@@ -18,6 +19,8 @@
 	// proofHold is how long after a return the records prove nothing of what was withdrawn
 	// before.
 	proofHold = 3 * time.Second
+	// minReturnInterval is the shortest time between two returns that peers tell apart.
+	minReturnInterval = 500 * time.Millisecond
 	// removedServerTTL is how long a server that was removed is remembered.
 	removedServerTTL = 2 * time.Minute
 )
@@ -28,6 +31,30 @@
 	d.newEraAt.Store(&now)
 }
 
+// NoteReturn records what a peer tells of a return of the store. An instance that started
+// later can't tell by itself that the store may have lost withdrawals of keys.
+func (d *Directory) NoteReturn(r member.StoreReturn) {
+	newEraAt, known := time.Now().Add(-r.Age), d.newEraAt.Load()
+	// The same return seems a little later with each peer that tells of it.
+	if known == nil || newEraAt.Sub(*known) > minReturnInterval {
+		d.newEraAt.Store(&newEraAt)
+	}
+	for told := d.toldConfiguration.Load(); told < r.Configuration; told = d.toldConfiguration.Load() {
+		if d.toldConfiguration.CompareAndSwap(told, r.Configuration) {
+			return
+		}
+	}
+}
+
+// LastReturn returns the last return of the store; nil if there was none within returnHold.
+func (d *Directory) LastReturn() *member.StoreReturn {
+	newEraAt, snapshot := d.newEraAt.Load(), d.Current.Load()
+	if newEraAt == nil || snapshot == nil || time.Since(*newEraAt) >= returnHold {
+		return nil
+	}
+	return &member.StoreReturn{Age: time.Since(*newEraAt), Configuration: snapshot.Configuration.Version}
+}
+
 // holdUntil returns until when what was in force before the last return goes before the
 // records of the store.
 func (d *Directory) holdUntil() time.Time {
@@ -182,6 +209,12 @@
 // provesWithdrawals reports whether the records of the store are new enough to prove that no
 // key was withdrawn that is still in use.
 func (d *Directory) provesWithdrawals() bool {
-	newEraAt := d.newEraAt.Load()
-	return !d.storeIsBehind.Load() && (newEraAt == nil || time.Since(*newEraAt) >= proofHold)
+	newEraAt, snapshot := d.newEraAt.Load(), d.Current.Load()
+	switch {
+	case newEraAt == nil:
+		return true
+	case time.Since(*newEraAt) < proofHold, d.storeIsBehind.Load():
+		return false
+	}
+	return snapshot != nil && snapshot.Configuration.Version >= d.toldConfiguration.Load()
 }
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -265,9 +265,11 @@
 		g.mergePoisonRequests(records)
 		g.prober.GossipNow()
 	}
+	g.table.StoreReturn, g.prober.OnStoreReturn = g.directory.LastReturn, g.directory.NoteReturn
 	g.mirror.OnNewEra = func(before, after blackboard.Version) {
 		g.follower.NoteReturn()
 		g.directory.NoteNewEra()
+		g.fence.NoteNewEra()
 		g.log.Warn("the store came back from an older copy", "before", before, "records", after)
 	}
 }
--- a/lentilward/member/prober.go
+++ b/lentilward/member/prober.go
@@ -50,13 +50,18 @@
 	// instance; age is how long ago that version was last known to be the
 	// newest.
 	OnSameVersion func(age time.Duration)
+	// OnStoreReturn is called when a member tells of a return of the store from an older copy.
+	OnStoreReturn func(r StoreReturn)
 	// NeedsMember reports whether this instance needs to contact a member urgently.
 	NeedsMember func() bool
 }
 
 // NewProber returns a prober. Set its fields before Run.
 func NewProber(board *blackboard.Board, table *Table) *Prober {
-	return &Prober{board: board, table: table, gossipNow: make(chan struct{}, 1), OnSameVersion: func(time.Duration) {}, NeedsMember: func() bool { return false }}
+	return &Prober{
+		board: board, table: table, gossipNow: make(chan struct{}, 1), OnSameVersion: func(time.Duration) {},
+		OnStoreReturn: func(StoreReturn) {}, NeedsMember: func() bool { return false },
+	}
 }
 
 // GossipNow makes the prober send gossip to a few members at once, so that a new
@@ -170,7 +175,11 @@
 	if p.table.IsBehind(g) {
 		p.GossipNow()
 	}
-	switch own, theirs := p.table.Version(), g.Version(); theirs.Compare(own) {
+	own, theirs := p.table.Version(), g.Version()
+	if g.Return != nil && theirs.Era >= own.Era {
+		p.OnStoreReturn(*g.Return)
+	}
+	switch theirs.Compare(own) {
 	case 1:
 		go p.OnNewerVersion(ctx, g.From.Address, theirs)
 	case 0:
--- a/lentilward/member/table.go
+++ b/lentilward/member/table.go
@@ -41,6 +41,9 @@
 	Updates []blackboard.Member `cbor:"news"`
 	// Era is the era of the sender's revision; 0 if there are no eras.
 	Era uint64 `cbor:"era,omitempty"`
+	// Return tells of the last return of the store from an older copy; nil if there was none
+	// lately.
+	Return *StoreReturn `cbor:"return,omitempty"`
 	// Age is how long ago the sender's version was last known to be the newest.
 	Age time.Duration `cbor:"age,omitempty"`
 	// CPUShares has the shares of a core, in thousandths, of the sender and of the members
@@ -54,6 +57,13 @@
 	LimitAge time.Duration `cbor:"limit-age,omitempty"`
 }
 
+// StoreReturn is what an instance knows of a return of the store from an older copy.
+type StoreReturn struct {
+	Age time.Duration `cbor:"age"`
+	// Configuration is the version of the configuration that the instance has in force.
+	Configuration uint64 `cbor:"configuration"`
+}
+
 // Version returns the version of the configuration or records that the sender has.
 func (g Gossip) Version() blackboard.Version {
 	return blackboard.Version{Era: g.Era, Revision: g.From.Revision}
@@ -69,6 +79,9 @@
 	Version func() blackboard.Version
 	// Age returns how long ago that version was last known to be the newest.
 	Age func() time.Duration
+	// StoreReturn returns the last return of the store from an older copy; nil if there was none
+	// lately.
+	StoreReturn func() *StoreReturn
 	// NamesLimit reports whether a backend server names a limit to this instance.
 	NamesLimit func() bool
 
@@ -95,6 +108,7 @@
 	t := &Table{board: board, now: now, self: self, members: make(map[string]*entry), lastChange: now()}
 	t.Version = func() blackboard.Version { return blackboard.Version{Revision: board.Config.Load().Revision} }
 	t.Age, t.NamesLimit = func() time.Duration { return 0 }, func() bool { return false }
+	t.StoreReturn = func() *StoreReturn { return nil }
 	t.publish()
 	return t
 }
@@ -179,7 +193,7 @@
 	// The age is read first, so that the version is at least the one that it is about.
 	g := Gossip{Age: t.Age()}
 	version := t.Version()
-	g.From, g.Era = t.localMember(version), version.Era
+	g.From, g.Era, g.Return = t.localMember(version), version.Era, t.StoreReturn()
 	for _, e := range pending[:min(len(pending), maxUpdatesPerMessage)] {
 		e.timesSent++
 		g.Updates = append(g.Updates, e.Member)
--- a/lentilward/proof/fence.go
+++ b/lentilward/proof/fence.go
@@ -45,11 +45,14 @@
 	refuses atomic.Bool
 	mu      sync.Mutex
 	proven  blackboard.Cell[Time]
+	// outdated is the last proof about records of an earlier era of the store; None if there
+	// is none. It holds for this instance, but not for others with the records of this era.
+	outdated Time
 }
 
 // New returns a fence without a proof, which admits all requests until SetWithin is called.
 func New() *Fence {
-	return &Fence{Clock: BootTime, OnChange: func(bool, time.Duration) {}}
+	return &Fence{Clock: BootTime, OnChange: func(bool, time.Duration) {}, outdated: None}
 }
 
 // SetWithin sets the time within which a withdrawal must hold; with 0 the fence admits all
@@ -84,6 +87,26 @@
 	}
 }
 
+// NoteNewEra records that the store has come back from an older copy: what was proven before
+// is not about its records.
+func (f *Fence) NoteNewEra() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if proven := f.proven.Load(); proven != nil {
+		f.outdated = *proven
+	}
+}
+
+// lastProof returns the last proof about the records of the present era; nil if there is none.
+func (f *Fence) lastProof() *Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if proven := f.proven.Load(); proven != nil && *proven > f.outdated {
+		return proven
+	}
+	return nil
+}
+
 // Age returns how long ago the proof was; a day or more if there is none or the clock
 // can't be read.
 func (f *Fence) Age() time.Duration {
@@ -159,7 +182,7 @@
 	defer timer.Stop()
 	for {
 		changed := f.proven.Changed()
-		proven := f.proven.Load()
+		proven := f.lastProof()
 		if proven != nil && arrived.Sub(*proven) < q.Age {
 			break
 		}
@@ -171,7 +194,7 @@
 		}
 		break
 	}
-	proven := f.proven.Load()
+	proven := f.lastProof()
 	if proven == nil {
 		return Answer{}
 	}
--- a/lentilward/proof/fence_test.go
+++ b/lentilward/proof/fence_test.go
@@ -155,6 +155,28 @@
 	})
 }
 
+// Guards against an instance that has just started and trusts the keys of an older copy of the
+// store, because a peer's proof from before the store came back counts for it.
+func TestProofOfAnEarlierEraIsNotGivenToPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newTestFence(5 * time.Second)
+		version := func() blackboard.Version { return blackboard.Version{Era: 2, Revision: 7} }
+		f.advanceBy(t, 0)
+		f.NoteNewEra()
+		if got := f.Answer(t.Context(), Question{Age: time.Hour}, version); got.Revision != 0 {
+			t.Errorf("%+v before a proof of this era", got)
+		}
+		if !f.Admits() {
+			t.Error("the proof does not hold for the instance itself any more")
+		}
+		time.Sleep(time.Second)
+		f.advanceBy(t, 0)
+		if got := f.Answer(t.Context(), Question{Age: time.Hour}, version); got.Version() != version() || got.Age != 0 {
+			t.Errorf("%+v, want the proof of this era", got)
+		}
+	})
+}
+
 // Guards against an answer that does not wait for the proof that was asked for, or not
 // only for as long as it may.
 func TestAnswerWaitsForYoungerProof(t *testing.T) {
