Get the records of a new era from peers on most instances

What the store would see: at a return nearly all instances list all records in the same quarter of a second.

Cause: after 0.9 s without the store most instances read it themselves, and all get 410 or a reply of a newer era at once.

Change: an instance that does not read the store for others waits 1 to 2 s for records of another version from a peer before it lists them. 410 has the era too, so that a compaction is told from a return and listed at once as before.

Evidence: TestRecordsOfANewEraComeFromPeers failed without the wait.

--- a/lentilward/gateway_store.go
+++ b/lentilward/gateway_store.go
@@ -37,6 +37,7 @@
 	}
 	g.follower.MaxWatchWait = watchWait(time.Duration(g.options.Load().Apply))
 	g.follower.ReadsStore = g.readsStore
+	g.follower.ReadsForPeers = func() bool { return g.board.Members.Load().Rank("store") < storeReaderCount }
 	o := g.options.Load()
 	g.registrar = newRegistrar(store, o.Name, o.Listen.Peers, g.log)
 	g.registrar.IsRegistered = func() bool { return len(g.mirror.List(platform.InstancePrefix+o.Name)) > 0 }
@@ -58,7 +59,7 @@
 // mirror.Follower expects.
 func toMirrorPage(p *platform.Page, err error) (*mirror.Page, error) {
 	if errors.Is(err, platform.ErrCompacted) {
-		return nil, mirror.ErrCompacted
+		return &mirror.Page{Version: blackboard.Version{Era: p.Era}}, mirror.ErrCompacted
 	}
 	if err != nil {
 		return nil, err
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -32,6 +32,9 @@
 	// idleCheckInterval is the interval at which an instance that does not read
 	// the store checks whether it has to.
 	idleCheckInterval = 250 * time.Millisecond
+	// peersDelay is the longest time for which an instance waits for the records of a new era
+	// from peers before it lists them itself.
+	peersDelay = 2 * time.Second
 	// confirmWait is the wait of a watch that only finds out whether there are changes.
 	confirmWait = time.Millisecond
 )
@@ -42,7 +45,7 @@
 
 // Errors of a listing.
 var (
-	errNewEra = errors.New("store came back from an older copy while its records were listed")
+	errNewEra = errors.New("store came back from an older copy")
 	errOldEra = errors.New("reply is of an era before that of the records at hand")
 	// errOlderRevision means that the store does not have the records at hand and does not
 	// say that it came back from an older copy.
@@ -88,6 +91,9 @@
 	// ReadsStore reports whether this instance is to read the store; the others get
 	// the records from peers.
 	ReadsStore func() bool
+	// ReadsForPeers reports whether this instance reads the store in normal operation, so that
+	// peers get its records.
+	ReadsForPeers func() bool
 	// ReadVersion returns the present version of the store.
 	ReadVersion func(ctx context.Context) (blackboard.Version, error)
 	// Clock reads the boot clock. OnProof is called after each answer of the store with the
@@ -101,7 +107,8 @@
 func NewFollower(m *Mirror, log *slog.Logger) *Follower {
 	return &Follower{
 		mirror: m, log: log, confirmRequested: make(chan struct{}, 1), ReadsStore: func() bool { return true },
-		Clock: proof.BootTime, OnProof: func(proof.Time) {},
+		ReadsForPeers: func() bool { return true },
+		Clock:         proof.BootTime, OnProof: func(proof.Time) {},
 	}
 }
 
@@ -176,6 +183,9 @@
 	if errors.Is(err, errConfirm) {
 		err = f.watch(ctx, confirmWait)
 	}
+	if errors.Is(err, errNewEra) && !f.ReadsForPeers() && f.awaitPeers(ctx) {
+		return nil
+	}
 	if errors.Is(err, ErrCompacted) || errors.Is(err, errNewEra) {
 		f.log.Info("listing all records", "why", err, "records", f.mirror.Version())
 		return f.listAll(ctx)
@@ -204,6 +214,9 @@
 	after := f.mirror.Version()
 	page, err := f.Watch(watchCtx, after.Revision, wait)
 	if errors.Is(err, ErrCompacted) {
+		if page != nil && page.Version.Era > after.Era {
+			return errNewEra
+		}
 		return err
 	}
 	if err != nil {
@@ -240,6 +253,19 @@
 	return nil
 }
 
+// awaitPeers waits for the records of another version from a peer, and reports whether they
+// have come. All instances that read the store notice its return at the same time, and their
+// listings together would exceed its rate.
+func (f *Follower) awaitPeers(ctx context.Context) bool {
+	known := f.mirror.Version()
+	for end := time.Now().Add(peersDelay/2 + rand.N(peersDelay/2)); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, catchUpInterval) {
+		if f.mirror.Version() != known {
+			return true
+		}
+	}
+	return false
+}
+
 // seenVersion returns the version up to which a watch from a version has reported changes. It
 // is older than that of the store if the watch heard nothing of some changes.
 func seenVersion(page *Page, after blackboard.Version) blackboard.Version {
--- a/lentilward/mirror/mirror_test.go
+++ b/lentilward/mirror/mirror_test.go
@@ -621,3 +621,38 @@
 		want("a call that began after has failed", 0)
 	})
 }
+
+// Guards against a return of the store that makes all instances list its records at the same
+// moment: those that do not read the store for others get the records from them.
+func TestRecordsOfANewEraComeFromPeers(t *testing.T) {
+	for _, peersTell := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeStore{records: make(map[string]Record)}
+			s.write("a", false)
+			f := newTestFollower(s)
+			f.ReadsForPeers = func() bool { return false }
+			var listings atomic.Int64
+			list := f.List
+			f.List = func(ctx context.Context, after string) (*Page, error) {
+				listings.Add(1)
+				return list(ctx, after)
+			}
+			f.Watch = func(context.Context, uint64, time.Duration) (*Page, error) {
+				return &Page{Version: s.version()}, ErrCompacted
+			}
+			if err := f.listAll(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			s.restore(s.copy())
+			if peersTell {
+				time.AfterFunc(peersDelay/4, func() {
+					f.mirror.Merge(Delta{Era: s.era, Revision: s.revision, Records: s.list(), Whole: true})
+				})
+			}
+			err := f.sync(t.Context())
+			if got := listings.Load() - 1; err != nil || f.mirror.Version() != s.version() || got > 0 == peersTell {
+				t.Errorf("peers tell %v: %d listings, records %v, %v", peersTell, got, f.mirror.Version(), err)
+			}
+		})
+	}
+}
