Replace leases of an earlier era of the store

After the store has come back from an older copy, an instance renews the ID of a lease that the store may have granted to another instance since, and ends that lease when it stops, which deletes the other's registration. Where the copy has the lease but not yet the registration, an instance of the gRPC face is never registered again.

Cause: a lease was known by its ID only, which is given out again in another era.

Change: a lease carries the era of the reply that granted it. One of an era before the newest that the instance knows is neither renewed nor revoked; a new one is granted and the registration written again at the next renewal, within 10 s. No calls are added without a return.

What is left: an instance that learns of the new era only by the reply to a renewal has renewed the ID once by then.

The tests of GrantLease changed only for its new result.

--- a/lentilstand/platform/store_test.go
+++ b/lentilstand/platform/store_test.go
@@ -74,11 +74,11 @@
 
 func TestWatchReportsWritesAndLeaseExpiry(t *testing.T) {
 	s, c := newStoreAndClient(t)
-	lease, _, err := c.GrantLease(t.Context(), time.Minute)
+	lease, err := c.GrantLease(t.Context(), time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
-	revision := put(t, c, "p/a", "1", lease)
+	revision := put(t, c, "p/a", "1", lease.ID)
 	s.ExpireLeases()
 	page, err := c.Watch(t.Context(), "p/", revision, time.Minute)
 	if err != nil || len(page.Items) != 1 || !page.Items[0].Deleted {
@@ -97,7 +97,7 @@
 	if page := <-done; len(page.Items) != 1 || string(page.Items[0].Value) != "yes" {
 		t.Fatalf("watch reported %+v, want the write of p/b only", page)
 	}
-	if err := c.RenewLease(t.Context(), lease); !errors.Is(err, platform.ErrNotFound) {
+	if err := c.RenewLease(t.Context(), lease.ID); !errors.Is(err, platform.ErrNotFound) {
 		t.Fatalf("renewing an expired lease returned %v, want ErrNotFound", err)
 	}
 }
--- a/lentilward/gateway_store.go
+++ b/lentilward/gateway_store.go
@@ -40,6 +40,8 @@
 	o := g.options.Load()
 	g.registrar = newRegistrar(store, o.Name, o.Listen.Peers, g.log)
 	g.registrar.IsRegistered = func() bool { return len(g.mirror.List(platform.InstancePrefix+o.Name)) > 0 }
+	// Peers may have told of another era before the next call to the store does.
+	g.registrar.Era = func() uint64 { return max(store.Era(), g.mirror.Version().Era) }
 	g.poisonWriter = suspect.NewPersister(g.log)
 	g.poisonWriter.Write = func(ctx context.Context, request blackboard.SuspectRequest, ttl time.Duration) error {
 		return storePoisonRequest(ctx, store, request, ttl)
--- a/lentilward/registration/registration.go
+++ b/lentilward/registration/registration.go
@@ -26,11 +26,15 @@
 // ErrLeaseExpired is returned by RenewLease if the lease has expired.
 var ErrLeaseExpired = errors.New("lease has expired")
 
+// Lease is a lease of the store. Its ID may belong to another instance in any era but its
+// own.
+type Lease struct{ ID, Era uint64 }
+
 // Registrar registers one instance and holds the lease of its registration.
 type Registrar struct {
 	log *slog.Logger
 	// GrantLease creates a lease.
-	GrantLease func(ctx context.Context, ttl time.Duration) (lease uint64, err error)
+	GrantLease func(ctx context.Context, ttl time.Duration) (Lease, error)
 	// RenewLease renews a lease. It returns ErrLeaseExpired if the lease has
 	// expired.
 	RenewLease func(ctx context.Context, lease uint64) error
@@ -41,6 +45,8 @@
 	// IsRegistered reports whether the instance's registration is in the local
 	// replica of the store; it is written again if not.
 	IsRegistered func() bool
+	// Era returns the newest era of the store that this instance knows of.
+	Era func() uint64
 }
 
 // New returns a registrar. All its function fields must be set before Run is
@@ -49,7 +55,7 @@
 
 // Run keeps the instance registered until the context ends, then deregisters it.
 func (r *Registrar) Run(ctx context.Context) {
-	var lease uint64
+	var lease Lease
 	for {
 		next, err := r.renewOrRegister(ctx, lease)
 		lease = next
@@ -69,41 +75,44 @@
 	}
 }
 
-// renewOrRegister renews the lease. Without a lease, or after it has expired, it
-// creates one and writes the registration under it. It returns the lease to use
-// next, 0 for none.
-func (r *Registrar) renewOrRegister(ctx context.Context, lease uint64) (uint64, error) {
+// renewOrRegister renews the lease. Without a lease, or after it has expired or the store has
+// come back from an older copy, it creates one and writes the registration under it. It
+// returns the lease to use next; its ID is 0 if there is none.
+func (r *Registrar) renewOrRegister(ctx context.Context, lease Lease) (Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if lease != 0 {
-		err := r.RenewLease(ctx, lease)
-		if err == nil && r.IsRegistered() {
-			return lease, nil
-		}
-		if err == nil {
-			return lease, r.WriteRegistration(ctx, lease)
-		}
-		if !errors.Is(err, ErrLeaseExpired) {
+	if r.isHeld(lease) {
+		err := r.RenewLease(ctx, lease.ID)
+		switch {
+		case !r.isHeld(lease) || errors.Is(err, ErrLeaseExpired):
+		case err != nil:
 			return lease, err
+		case r.IsRegistered():
+			return lease, nil
+		default:
+			return lease, r.WriteRegistration(ctx, lease.ID)
 		}
 	}
 	lease, err := r.GrantLease(ctx, leaseTTL)
 	if err != nil {
-		return 0, err
+		return Lease{}, err
 	}
-	if err := r.WriteRegistration(ctx, lease); err != nil {
-		return 0, err
+	if err := r.WriteRegistration(ctx, lease.ID); err != nil {
+		return Lease{}, err
 	}
 	return lease, nil
 }
 
-func (r *Registrar) deregister(lease uint64) {
-	if lease == 0 {
+// isHeld reports whether there is a lease and it is of the present era.
+func (r *Registrar) isHeld(lease Lease) bool { return lease.ID != 0 && lease.Era >= r.Era() }
+
+func (r *Registrar) deregister(lease Lease) {
+	if !r.isHeld(lease) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if err := r.RevokeLease(ctx, lease); err != nil {
+	if err := r.RevokeLease(ctx, lease.ID); err != nil {
 		r.log.Info("deregistration from the store failed", "error", err)
 	}
 }
--- a/lentilward/storeclient.go
+++ b/lentilward/storeclient.go
@@ -49,9 +49,9 @@
 func newRegistrar(c *platform.Store, name string, peerAddress netip.AddrPort, log *slog.Logger) *registration.Registrar {
 	key := platform.InstancePrefix + name
 	r := registration.New(log)
-	r.GrantLease = func(ctx context.Context, ttl time.Duration) (uint64, error) {
-		lease, _, err := c.GrantLease(ctx, ttl)
-		return lease, err
+	r.GrantLease = func(ctx context.Context, ttl time.Duration) (registration.Lease, error) {
+		lease, err := c.GrantLease(ctx, ttl)
+		return registration.Lease{ID: lease.ID, Era: lease.Era}, err
 	}
 	r.RenewLease = func(ctx context.Context, lease uint64) error {
 		err := c.RenewLease(ctx, lease)
@@ -70,6 +70,7 @@
 		return err
 	}
 	r.IsRegistered = func() bool { return true }
+	r.Era = c.Era
 	return r
 }
 
@@ -84,10 +85,10 @@
 	if err != nil {
 		return err
 	}
-	lease, _, err := c.GrantLease(ctx, ttl)
+	lease, err := c.GrantLease(ctx, ttl)
 	if err != nil {
 		return err
 	}
-	_, err = c.Commit(ctx, nil, []platform.Write{{Key: poisonKey(request.Fingerprint), Value: value, Lease: lease}}, nil)
+	_, err = c.Commit(ctx, nil, []platform.Write{{Key: poisonKey(request.Fingerprint), Value: value, Lease: lease.ID}}, nil)
 	return err
 }
--- a/lentilward/storeclient_test.go
+++ b/lentilward/storeclient_test.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	standin "lentilward.org/lentilstand/platform"
 	"lentilward.org/platform"
 )
 
@@ -95,3 +99,41 @@
 		}
 	})
 }
+
+// Guards against an instance whose registration is lost for good: the store has come back
+// from a copy that has its lease, but not yet its registration.
+func TestRegistrationIsWrittenAgainAfterStoreReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(1)
+		var older *standin.Copy
+		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/v1/kv-txn" && older == nil {
+				older = s.TakeCopy()
+			}
+			s.Handler().ServeHTTP(w, r)
+		})
+		c := platform.NewStore(storeAddress, &http.Client{Transport: handlerTransport{handler, "10.0.0.1"}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			newRegistrar(c, "n1", netip.MustParseAddrPort("10.0.0.1:8102"), slog.New(slog.DiscardHandler)).Run(ctx)
+			close(done)
+		}()
+		time.Sleep(time.Minute)
+		calls := c.Calls.Load()
+		time.Sleep(time.Minute)
+		if n := c.Calls.Load() - calls; n > 12 {
+			t.Errorf("%d calls in a minute without a return, want renewals only", n)
+		}
+		s.Restore(older)
+		time.Sleep(15 * time.Second)
+		if _, err := c.Get(t.Context(), platform.InstancePrefix+"n1"); err != nil {
+			t.Errorf("registration after the return: %v", err)
+		}
+		cancel()
+		<-done
+		if _, err := c.Get(t.Context(), platform.InstancePrefix+"n1"); !errors.Is(err, platform.ErrNotFound) {
+			t.Errorf("registration of a stopped instance: %v, want none", err)
+		}
+	})
+}
