Correct the records of poison requests after the store returned

After the store has come back from an older copy, a request that is refused since the copy has no record any more: after a start of all instances it crashes servers again. A request that the copy has as refused and that has run well since is refused again by every instance that starts, and by those that fetch its records, until a trial.

Cause: a record is written once, by the instance that saw the refusal. A record that is read back counts from that moment, which is later than the run that ended the refusal, and spreads with the records as if it had been seen.

Change: five seconds after a new era one instance, by rank, compares the records with what it knows, writes those that are missing or differ and deletes those of requests that have run well. Two more check 30 and 60 s later, in case the first is lost. Records are written with pauses of 50 ms (two writes each), so that one instance makes at most 40 writes a second; above 600 refused requests two of them overlap. A refusal that only the store's record speaks for is marked, also in reports, and yields to a peer that knows a run and no refusal. Nothing is written without a return.

TestStoredRefusalYieldsToLaterRun failed without the change of merge.

--- a/lentilward/blackboard/suspects.go
+++ b/lentilward/blackboard/suspects.go
@@ -19,6 +19,9 @@
 	// Trials counts the trials since RefusedAt, and TrialAt is when the latest ended.
 	Trials  int
 	TrialAt time.Time
+	// FromStore is set while only the record in the store says that the request is refused,
+	// which may be older than what instances know.
+	FromStore bool
 }
 
 // LostServer is a server process that was lost while it ran a request.
--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -57,6 +57,8 @@
 	peers        *peer.Server
 	suspects     *suspect.List
 	poisonWriter *suspect.Persister
+	// storeReturned has a value after the store has come back from an older copy.
+	storeReturned chan struct{}
 	// crashes finds the servers that crash while they run a request.
 	crashes *suspect.Watch
 	trials  *trials
@@ -90,7 +92,7 @@
 // newGateway creates the components and connects them.
 func newGateway(o *Options, store *platform.Store, log *slog.Logger, level *slog.LevelVar) *Gateway {
 	g := &Gateway{
-		log: log, level: level, mirror: mirror.New(), metrics: monitor.NewMetrics(), listen: listenTCP, paces: pace.NewSet(),
+		log: log, level: level, storeReturned: make(chan struct{}, 1), mirror: mirror.New(), metrics: monitor.NewMetrics(), listen: listenTCP, paces: pace.NewSet(),
 		board: blackboard.New(blackboard.LocalInstance{Name: o.Name, DataCentre: o.DataCentre}),
 	}
 	g.options.Store(o)
@@ -268,6 +270,10 @@
 	g.mirror.OnNewEra = func(before, after blackboard.Version) {
 		g.follower.NoteReturn()
 		g.directory.NoteNewEra()
+		select {
+		case g.storeReturned <- struct{}{}:
+		default:
+		}
 		g.log.Warn("the store came back from an older copy", "before", before, "records", after)
 	}
 }
--- a/lentilward/gateway_run.go
+++ b/lentilward/gateway_run.go
@@ -56,6 +56,7 @@
 	go g.keepProven(processCtx)
 	go g.keepRegistered(registered)
 	go g.poisonWriter.Run(processCtx)
+	go g.restorePoisonRecords(processCtx)
 	go g.allowances.run(processCtx)
 	go g.serverLimits.run(processCtx)
 	go g.runPaces(processCtx)
--- a/lentilward/gateway_suspects.go
+++ b/lentilward/gateway_suspects.go
@@ -11,6 +11,17 @@
 	"lentilward.org/schema/domain"
 )
 
+const (
+	// poisonRewriteDelay is how long after a return of the store the first of poisonRewriters
+	// instances checks the records of poison requests, and poisonRewriteStep how much later
+	// each of the others does.
+	poisonRewriteDelay = 5 * time.Second
+	poisonRewriteStep  = 30 * time.Second
+	poisonRewriters    = 3
+	// poisonRewritePause is the pause between two records, each of which takes two writes.
+	poisonRewritePause = 50 * time.Millisecond
+)
+
 // connectSuspects connects the components that find requests which crash servers.
 func (g *Gateway) connectSuspects() {
 	g.suspects = suspect.New(g.board, suspect.MaxRequestCrashes)
@@ -66,3 +77,52 @@
 		g.suspects.MergeStored(fingerprint, record.Proven, record.Trials)
 	}
 }
+
+// restorePoisonRecords corrects the records of poison requests after the store has come back
+// from an older copy, until the context ends.
+func (g *Gateway) restorePoisonRecords(ctx context.Context) {
+	timer := time.NewTimer(poisonRewriteDelay)
+	timer.Stop()
+	for {
+		select {
+		case <-g.storeReturned:
+			if rank := g.board.Members.Load().Rank("poison records"); rank < poisonRewriters {
+				timer.Reset(poisonRewriteDelay + time.Duration(rank)*poisonRewriteStep)
+			}
+		case <-timer.C:
+			for _, r := range g.outdatedPoisonRecords() {
+				g.poisonWriter.Enqueue(r)
+				select {
+				case <-time.After(poisonRewritePause):
+				case <-ctx.Done():
+					return
+				}
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// outdatedPoisonRecords returns the requests whose record in the store is missing or says
+// something else, and those that have run well although they have a record.
+func (g *Gateway) outdatedPoisonRecords() []blackboard.SuspectRequest {
+	recorded := make(map[uint64]poisonRecord)
+	for _, r := range g.mirror.List(poisonPrefix) {
+		if fingerprint, record, err := decodePoison(r.Key, r.Value); err == nil {
+			recorded[fingerprint] = record
+		}
+	}
+	var outdated []blackboard.SuspectRequest
+	for fingerprint, r := range g.board.Suspects.Load().ByFingerprint {
+		record, isRecorded := recorded[fingerprint]
+		isOutdated := isRecorded && !r.RanAt.IsZero()
+		if r.IsRefused() {
+			isOutdated = suspect.IsPersisted(r) && (!isRecorded || record != poisonRecord{Proven: r.Proven, Trials: r.Trials})
+		}
+		if isOutdated {
+			outdated = append(outdated, r)
+		}
+	}
+	return outdated
+}
--- a/lentilward/suspect/persister.go
+++ b/lentilward/suspect/persister.go
@@ -40,6 +40,11 @@
 	return &Persister{log: log, wake: make(chan struct{}, 1), pending: make(map[uint64]blackboard.SuspectRequest)}
 }
 
+// IsPersisted reports whether a refused request should have a record, unless that has expired.
+func IsPersisted(r blackboard.SuspectRequest) bool {
+	return r.IsRefused() && time.Since(later(r.RefusedAt, r.TrialAt)) < recordTTL
+}
+
 // Enqueue queues a suspect for writing, in place of an earlier state of it. It does not
 // block; if too many wait, the suspect is dropped.
 func (p *Persister) Enqueue(suspect blackboard.SuspectRequest) {
--- a/lentilward/suspect/report.go
+++ b/lentilward/suspect/report.go
@@ -21,6 +21,7 @@
 	Refused     time.Duration `cbor:"refused,omitempty"`
 	Trials      int           `cbor:"trials,omitempty"`
 	Trial       time.Duration `cbor:"trial,omitempty"`
+	FromStore   bool          `cbor:"from-store,omitempty"`
 }
 
 // LostReport is a lost server in a Report.
@@ -33,7 +34,7 @@
 func newReport(r blackboard.SuspectRequest, now time.Time) Report {
 	report := Report{
 		Fingerprint: r.Fingerprint, Ran: ageOf(r.RanAt, now), RunID: r.RunID, Proven: r.Proven, Refused: ageOf(r.RefusedAt, now),
-		Trials: r.Trials, Trial: ageOf(r.TrialAt, now),
+		Trials: r.Trials, Trial: ageOf(r.TrialAt, now), FromStore: r.FromStore,
 	}
 	for _, l := range r.Lost {
 		report.Lost = append(report.Lost, LostReport{l.Process, l.Request, ageOf(l.At, now)})
@@ -44,7 +45,7 @@
 func (r Report) toRequest(now time.Time) blackboard.SuspectRequest {
 	request := blackboard.SuspectRequest{
 		Fingerprint: r.Fingerprint, RanAt: timeOf(r.Ran, now), RunID: r.RunID, Proven: r.Proven, RefusedAt: timeOf(r.Refused, now),
-		Trials: r.Trials, TrialAt: timeOf(r.Trial, now),
+		Trials: r.Trials, TrialAt: timeOf(r.Trial, now), FromStore: r.FromStore,
 	}
 	for _, l := range r.Lost {
 		request.Lost = append(request.Lost, blackboard.LostServer{Process: l.Process, Request: l.Request, At: timeOf(max(1, l.Age), now)})
@@ -70,6 +71,7 @@
 // suspicion from before it; a server that both lost counts once. Each report adds the time
 // that it has taken to the times in it, so of two for one event the earlier one is right.
 func merge(a, b blackboard.SuspectRequest) blackboard.SuspectRequest {
+	a, b = withoutStale(a, b), withoutStale(b, a)
 	merged := blackboard.SuspectRequest{Fingerprint: b.Fingerprint, Proven: a.Proven || b.Proven}
 	merged.RanAt, merged.RunID = a.RanAt, a.RunID
 	if isSame := a.RunID == b.RunID; isSame && b.RanAt.Before(a.RanAt) || !isSame && b.RanAt.After(a.RanAt) {
@@ -84,9 +86,20 @@
 			merged.Trials, merged.TrialAt = r.Trials, r.TrialAt
 		}
 	}
+	merged.FromStore = merged.IsRefused() && (a.FromStore || !a.IsRefused()) && (b.FromStore || !b.IsRefused())
 	return merged
 }
 
+// withoutStale returns r without a refusal that only the store's record speaks for, if the
+// other source knows that the request has run well and is not refused: the store may have
+// come back from a copy from before that.
+func withoutStale(r, other blackboard.SuspectRequest) blackboard.SuspectRequest {
+	if r.FromStore && !other.RanAt.IsZero() && !other.IsRefused() {
+		r.RefusedAt, r.Trials, r.TrialAt, r.FromStore = time.Time{}, 0, time.Time{}, false
+	}
+	return r
+}
+
 // mergeLost returns the latest of the servers that were lost after a run that went well.
 func mergeLost(a, b []blackboard.LostServer, ranAt time.Time) []blackboard.LostServer {
 	var lost []blackboard.LostServer
--- a/lentilward/suspect/suspect.go
+++ b/lentilward/suspect/suspect.go
@@ -186,7 +186,7 @@
 	if !proven {
 		trials = max(1, trials)
 	}
-	update := blackboard.SuspectRequest{Fingerprint: fingerprint, Proven: proven, RefusedAt: now, Trials: trials}
+	update := blackboard.SuspectRequest{Fingerprint: fingerprint, Proven: proven, RefusedAt: now, Trials: trials, FromStore: true}
 	if trials > 0 {
 		update.TrialAt = now
 	}
--- a/lentilward/suspect/suspect_test.go
+++ b/lentilward/suspect/suspect_test.go
@@ -219,3 +219,42 @@
 		}
 	})
 }
+
+// Guards against a record from an older copy of the store that refuses a request anew which
+// has run well since, on the instance that reads it and on those that it tells; and against a
+// refusal that is dropped although instances know that it is in force.
+func TestStoredRefusalYieldsToLaterRun(t *testing.T) {
+	for _, refusedAgain := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			a := newList()
+			for process := range uint64(3) {
+				a.RecordLoss(t.Context(), 7, process, fmt.Sprint(process), time.Now())
+			}
+			time.Sleep(time.Second)
+			a.RecordRun(t.Context(), 7, time.Now())
+			time.Sleep(time.Second)
+			if refusedAgain {
+				for process := range uint64(3) {
+					a.RecordLoss(t.Context(), 7, 10+process, fmt.Sprint(process), time.Now())
+				}
+			}
+			started := newList()
+			started.MergeStored(7, false, 1)
+			if !started.IsRefused(7) {
+				t.Fatal("a request whose record alone is known is not refused")
+			}
+			a.Merge(started.All())
+			started.Merge(a.All())
+			if a.IsRefused(7) != refusedAgain || started.IsRefused(7) != refusedAgain {
+				t.Errorf("refused again %v: refused %v, and %v by an instance that has started", refusedAgain, a.IsRefused(7), started.IsRefused(7))
+			}
+			started.MergeStored(8, false, 1)
+			started.RecordTrial(t.Context(), 8)
+			a.RecordRun(t.Context(), 8, time.Now().Add(-time.Minute))
+			a.Merge(started.All())
+			if !a.IsRefused(8) {
+				t.Error("a request that had a trial since is not refused by a peer")
+			}
+		})
+	}
+}
--- a/lentilward/suspect/trial.go
+++ b/lentilward/suspect/trial.go
@@ -71,7 +71,7 @@
 func (s *List) RecordTrial(ctx context.Context, fingerprint uint64) {
 	request := s.board.Suspects.Load().ByFingerprint[fingerprint]
 	if request.IsRefused() {
-		request.Trials, request.TrialAt = request.Trials+1, time.Now()
+		request.Trials, request.TrialAt, request.FromStore = request.Trials+1, time.Now(), false
 		s.publish(ctx, request)
 	}
 }
