--- a/lentilward/store_return_test.go
+++ b/lentilward/store_return_test.go
@@ -80,7 +80,7 @@
 }
 
 // returnFrom lets the store be away and return from a copy.
-func (p *returnPlatform) returnFrom(c *standin.Copy) {
+func (p *memoryPlatform) returnFrom(c *standin.Copy) {
 	p.store.StartOutage(returnOutage, false, false)
 	time.Sleep(returnOutage)
 	p.store.Restore(c)
