Keep rollouts in force while the store has only an older copy of them

Seen: on the model and on whole instances. After the store has come back from a copy from before the end of a rollout, calls go back to the old servers, which may have stopped, and a version that was rolled back gets requests again; the status that was reported is not written again.

Cause: an order was known by its revision, the record by its revision too. The listing of the new era made every instance take the order for a new one (permits, counts and news forgotten) and the record of the copy for the present one. A revision that is given out again lets news, reports and records of one order pass for another's.

Change: - The identity of an order is the era and the revision; notices and reports name both. Older builds name no era, which then is not compared. - An order that the store of another era has with the same content is the same one under another identity: news, permits, counts and the record stay. - An order that the copy lacks, or has only the one before it, stays in force for 10 s; the operator writes it again meanwhile. The record is not written then, since its condition can't hold. - The record counts its writes. An instance keeps the record that it knows if that of another era has fewer, and the controller writes it again, with the status, also if it is final. The controller's own last write counts even if no watch has returned it. A controller ends with the era in which it started, so that its conditions are never those of an earlier one. - A record is about an order only if the target is the same as well.

Two orders of one service within the time that is lost: only the last but one is recognised as being of the copy; an earlier one is carried out until the operator writes the last one again. An order with the content of the one before counts as the same one if it is the first after a return.

--- a/lentilward/gateway_rollout.go
+++ b/lentilward/gateway_rollout.go
@@ -78,7 +78,9 @@
 // it.
 type rolloutControl struct {
 	*rollout.Controller
-	order   uint64
+	order rollout.Order
+	// era is the era of the store in which the order and the record are known.
+	era     uint64
 	writing bool
 	// lost is set once another record was written, and doneAt once the rollout has ended.
 	lost bool
@@ -150,13 +152,13 @@
 func (r *rolloutRunner) applyRecord(m mirror.Record, knownAt, now time.Time) {
 	defer r.wakeUp()
 	if service, ok := strings.CutPrefix(m.Key, platform.RolloutOrderPrefix); ok {
-		o := rollout.Order{Revision: m.Revision, KnownAt: knownAt}
+		o := rollout.Order{Revision: m.Revision, Era: m.Era, KnownAt: knownAt}
 		if age := now.Sub(knownAt); age > maxOrderLag {
 			o.Late, o.KnownAt = age > lateOrderAge, now.Add(-maxOrderLag)
 		}
 		var err error
 		if m.Deleted {
-			o = rollout.Order{}
+			o = rollout.Order{Era: m.Era}
 		} else if o.RolloutOrder, err = platform.DecodeRollout(m.Key, m.Value); err != nil {
 			r.log.Error("order of a rollout is malformed; ignoring it", "key", m.Key, "revision", m.Revision, "error", err)
 			return
@@ -166,7 +168,7 @@
 	}
 	service := strings.TrimPrefix(m.Key, platform.RolloutRecordPrefix)
 	if m.Deleted {
-		r.local.SetRecord(service, domain.RolloutRecord{}, 0, now)
+		r.local.SetRecord(service, domain.RolloutRecord{}, 0, m.Era, now)
 		return
 	}
 	record, err := platform.DecodeRolloutRecord(m.Value)
@@ -174,7 +176,7 @@
 		r.log.Error("record of a rollout is malformed; ignoring it", "key", m.Key, "revision", m.Revision, "error", err)
 		return
 	}
-	r.local.SetRecord(service, record, m.Revision, now)
+	r.local.SetRecord(service, record, m.Revision, m.Era, now)
 }
 
 // run follows the rollouts until the context ends.
@@ -279,7 +281,7 @@
 		replies[i].Wait = rolloutFrameTimeout
 		// News is passed on also by an instance that does not control the rollout any more.
 		if s := r.local.Find(report.Service); s != nil {
-			if state := s.State(); state.Order.Revision == report.Order {
+			if state := s.State(); state.Order.Is(report.Order, report.Era) {
 				replies[i].Phase = state.Phase
 			}
 		}
--- a/lentilward/rollout/controller.go
+++ b/lentilward/rollout/controller.go
@@ -19,6 +19,8 @@
 	// record is the record as it was last written, at revision; 0 if it was not yet.
 	record   domain.RolloutRecord
 	revision uint64
+	// isLost is set while the store does not have the final record of the order.
+	isLost bool
 	// startedAt is when this controller started.
 	startedAt, writtenAt, nextWriteAt time.Time
 	ledger                            *ledger
@@ -53,13 +55,13 @@
 	}
 	c.record = domain.RolloutRecord{
 		OrderRevision: s.Order.Revision, Target: s.Order.Target, Present: s.Present, State: domain.RolloutRunning,
-		BegunAtMs: s.Order.KnownAt.UnixMilli(),
+		BegunAtMs: s.Order.KnownAt.UnixMilli(), Writes: s.Record.Writes,
 	}
 	if s.Present == s.Order.Target {
 		c.record.State, c.movingSince = domain.RolloutMoving, now
 	}
 	if s.IsRecorded() {
-		c.record = s.Record.RolloutRecord
+		c.record, c.isLost = s.Record.RolloutRecord, s.Record.IsLost
 		if c.record.State == domain.RolloutMoving {
 			c.movingSince = now
 		}
@@ -117,7 +119,7 @@
 
 // HandleReport takes over a report and grants permits.
 func (c *Controller) HandleReport(r Report, now time.Time) Reply {
-	if r.Order != c.order.Revision {
+	if !c.order.Is(r.Order, r.Era) {
 		return Reply{Wait: maxAskWait}
 	}
 	from := process{r.Instance, r.Incarnation}
@@ -210,9 +212,13 @@
 // record at Revision and reports the result to Written or WriteFailed.
 func (c *Controller) Step(now time.Time, alive []string, targetServers int) (domain.RolloutRecord, bool) {
 	next := c.record
-	if c.record.State.IsFinal() || now.Before(c.nextWriteAt) {
+	if c.IsDone() || now.Before(c.nextWriteAt) {
 		return next, false
 	}
+	if c.record.State.IsFinal() {
+		next.Writes++
+		return next, true
+	}
 	c.Judge(now)
 	if c.newAtLoad < 0 && c.elapsed(now) >= c.part(loadFrom) {
 		c.newAtLoad = total(c.evidence.pooled()).New
@@ -261,7 +267,7 @@
 	all := total(c.evidence.pooled())
 	next.ElapsedMs = c.elapsed(now).Milliseconds()
 	next.Requests, next.Samples, next.Bad = c.evidence.requests, max(next.Samples, all.New), max(next.Bad, all.NewBad)
-	next.Reason = c.goodReason
+	next.Reason, next.Writes = c.goodReason, c.record.Writes+1
 	if c.badReason != "" {
 		next.Reason = c.badReason
 	}
@@ -286,7 +292,7 @@
 	if r.State == domain.RolloutMoving && c.movingSince.IsZero() {
 		c.movingSince = now
 	}
-	c.record, c.revision, c.writtenAt = r, revision, now
+	c.record, c.revision, c.writtenAt, c.isLost = r, revision, now, false
 	c.ledger.recorded = r.Exposed
 }
 
@@ -296,4 +302,4 @@
 }
 
 // IsDone reports whether the end of the rollout is recorded.
-func (c *Controller) IsDone() bool { return c.record.State.IsFinal() }
+func (c *Controller) IsDone() bool { return c.record.State.IsFinal() && !c.isLost }
--- a/lentilward/rollout/local/local.go
+++ b/lentilward/rollout/local/local.go
@@ -69,6 +69,7 @@
 	// became known.
 	recordRevision uint64
 	recordAt       time.Time
+	returned
 	// notice is the last news of the present order, and heardAt when it came.
 	notice  rollout.Notice
 	heardAt time.Duration
@@ -116,6 +117,7 @@
 	var list []*Service
 	for _, s := range r.services {
 		s.mu.Lock()
+		s.endHold(now)
 		s.apply(now)
 		if s.order.Revision != 0 {
 			list = append(list, s)
@@ -136,23 +138,34 @@
 	s := r.service(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.order, s.notice = o, rollout.Notice{Service: service, Order: o.Revision}
-	s.permits = permits{}
-	r.log.Info("order of a rollout", "service", service, "target", o.Target, "duration", o.Duration, "revision", o.Revision,
-		"age", now.Sub(o.KnownAt), "late", o.Late, "present", s.present)
+	if !s.keepsOrder(o, now) {
+		s.replaceOrder(o, now)
+	}
 	s.apply(now)
 }
 
 // SetRecord takes over the record of a rollout.
-func (r *Rollouts) SetRecord(service string, record domain.RolloutRecord, revision uint64, now time.Time) {
+func (r *Rollouts) SetRecord(service string, record domain.RolloutRecord, revision, era uint64, now time.Time) {
 	s := r.service(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stored = record
+	if s.keepsRecord(record, revision, era, now) {
+		s.apply(now)
+		return
+	}
 	if s.record.State != record.State || s.record.OrderRevision != record.OrderRevision || s.record.Controller != record.Controller {
 		r.log.Info("record of a rollout", "service", service, "target", record.Target, "present", record.Present, "state", string(record.State),
 			"controller", record.Controller, "exposed", record.Exposed, "samples", record.Samples, "bad", record.Bad, "reason", record.Reason, "revision", revision)
 	}
-	s.record, s.recordRevision, s.recordAt, s.heardAt = record, revision, now, r.Now()
+	s.recordRevision, s.recordEra, s.recordAt, s.heardAt = revision, era, now, r.Now()
+	s.setRecord(record)
+	s.apply(now)
+}
+
+// setRecord sets the record and the version that it says is in use. The caller holds mu.
+func (s *Service) setRecord(record domain.RolloutRecord) {
+	s.record = record
 	switch record.State {
 	case domain.RolloutCompleted:
 		s.present = record.Target
@@ -162,7 +175,6 @@
 		}
 	}
 	s.majority = ""
-	s.apply(now)
 }
 
 // SetServers takes over the servers in service, given as their number by version, and sets
@@ -184,7 +196,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if n.Order != s.order.Revision || n.Order == 0 {
+	if !s.order.Is(n.Order, n.Era) {
 		return rollout.Confirmation{}
 	}
 	s.heardAt = r.Now()
@@ -202,7 +214,7 @@
 
 // isRecorded reports whether the record is about the present order. The caller holds mu.
 func (s *Service) isRecorded() bool {
-	return s.recordRevision != 0 && s.record.OrderRevision == s.order.Revision
+	return rollout.IsAbout(s.record, s.order)
 }
 
 // phase returns the phase of the present order. The caller holds mu.
@@ -278,9 +290,9 @@
 	}
 	unwanted := ""
 	switch {
-	case active && !(s.recordRevision != 0 && s.record.State == domain.RolloutCompleted && s.record.Target == s.order.Target):
+	case active && !(s.record.State == domain.RolloutCompleted && s.record.Target == s.order.Target):
 		unwanted = s.order.Target
-	case active, s.recordRevision == 0:
+	case active, s.record.State == "":
 	case s.record.State != domain.RolloutCompleted:
 		unwanted = s.record.Target
 	case s.record.Present != s.record.Target:
--- a/lentilward/rollout/local/local_test.go
+++ b/lentilward/rollout/local/local_test.go
@@ -39,7 +39,7 @@
 }
 
 func (s *testService) setRecord(state domain.RolloutState, order uint64) {
-	s.SetRecord("s", domain.RolloutRecord{OrderRevision: order, Target: "v2", Present: "v1", State: state, Controller: "i-1"}, order+1, time.Now())
+	s.SetRecord("s", domain.RolloutRecord{OrderRevision: order, Target: "v2", Present: "v1", State: state, Controller: "i-1"}, order+1, 0, time.Now())
 }
 
 // Guards against a present version that is found wrong without an order.
@@ -130,7 +130,7 @@
 		start := time.Now()
 		s.Now = func() time.Duration { return time.Since(start) + suspended }
 		s.setServers(map[string]int{"v1": 3, "v2": 3})
-		s.SetRecord("s", domain.RolloutRecord{OrderRevision: 1, Target: "v1", State: domain.RolloutCompleted}, 2, time.Now())
+		s.SetRecord("s", domain.RolloutRecord{OrderRevision: 1, Target: "v1", State: domain.RolloutCompleted}, 2, 0, time.Now())
 		s.order("v2", 5)
 		s.setRecord(domain.RolloutRunning, 5)
 		service := s.Find("s")
--- a/lentilward/rollout/local/permits.go
+++ b/lentilward/rollout/local/permits.go
@@ -227,7 +227,7 @@
 		return rollout.Report{}, false
 	}
 	r := rollout.Report{
-		Service: s.name, Order: s.order.Revision, Instance: instance, Incarnation: incarnation,
+		Service: s.name, Order: s.order.Revision, Era: s.order.Era, Instance: instance, Incarnation: incarnation,
 		Used: p.used, Held: len(p.expiries), Requests: p.requests, Phase: phase, Routes: make(map[string]rollout.RouteCount),
 	}
 	if phase == rollout.Running && mayAsk {
@@ -250,7 +250,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := &s.permits
-	if sent.Order != s.order.Revision || sent.Sequence != p.sequence {
+	if !s.order.Is(sent.Order, sent.Era) || sent.Sequence != p.sequence {
 		return
 	}
 	p.asking = false
@@ -270,7 +270,7 @@
 	p.nextAskAt = s.local.Now() + reply.Wait
 	if reply.Phase > s.notice.Phase {
 		s.local.log.Info("news of a rollout", "service", s.name, "order", s.order.Revision, "phase", reply.Phase.String())
-		s.notice = rollout.Notice{Service: s.name, Order: s.order.Revision, Phase: reply.Phase}
+		s.notice = rollout.Notice{Service: s.name, Order: s.order.Revision, Era: s.order.Era, Phase: reply.Phase}
 		s.apply(now)
 	}
 }
@@ -281,8 +281,11 @@
 	defer s.mu.Unlock()
 	st := rollout.State{
 		Service: s.name, Phase: s.phase(), Order: s.order, Present: s.present, Versions: maps.Clone(s.versions),
-		Record: rollout.RecordState{RolloutRecord: s.record, Revision: s.recordRevision, KnownAt: s.recordAt},
-		Held:   len(s.permits.expiries), Used: s.permits.used, Requests: s.permits.requests,
+		Record: rollout.RecordState{
+			RolloutRecord: s.record, Revision: s.recordRevision, KnownAt: s.recordAt, Era: s.recordEra, IsLost: s.isRecordLost,
+		},
+		IsOrderLost: s.replacement != nil,
+		Held:        len(s.permits.expiries), Used: s.permits.used, Requests: s.permits.requests,
 	}
 	if s.balancer != nil {
 		st.InFlightOthers = s.balancer.InFlightExcept(s.order.Target)
--- a/lentilward/rollout/messages.go
+++ b/lentilward/rollout/messages.go
@@ -46,8 +46,9 @@
 // instance.
 type Notice struct {
 	Service string `cbor:"service"`
-	// Order is the revision of the order.
+	// Order is the revision of the order, and Era the era of the store that has it.
 	Order uint64 `cbor:"order"`
+	Era   uint64 `cbor:"era,omitempty"`
 	Phase Phase  `cbor:"phase"`
 }
 
@@ -64,6 +65,7 @@
 type Report struct {
 	Service     string `cbor:"service"`
 	Order       uint64 `cbor:"order"`
+	Era         uint64 `cbor:"era,omitempty"`
 	Instance    string `cbor:"instance"`
 	Incarnation uint64 `cbor:"incarnation"`
 	Sequence    uint64 `cbor:"sequence"`
--- a/lentilward/rollout/state.go
+++ b/lentilward/rollout/state.go
@@ -9,8 +9,8 @@
 // Order is an order with what this instance knows of its age.
 type Order struct {
 	domain.RolloutOrder
-	// Revision identifies the order; 0 if there is none.
-	Revision uint64
+	// Revision identifies the order in an era of the store; 0 if there is none.
+	Revision, Era uint64
 	// KnownAt is when it was given, as far as this instance knows.
 	KnownAt time.Time
 	// Late is set if this instance may have learned of the order long after that.
@@ -28,6 +28,9 @@
 	Held, Used     int
 	Requests       int
 	InFlightOthers int
+	// IsOrderLost is set while the store has not got the order since it has come back from an
+	// older copy.
+	IsOrderLost bool
 }
 
 // RecordState is the record of a rollout as an instance knows it.
@@ -37,9 +40,24 @@
 	// learned of it.
 	Revision uint64
 	KnownAt  time.Time
+	// Era is the era of the store that has Revision. IsLost is set if the store has only an
+	// older record, or none, since it has come back from a copy.
+	Era    uint64
+	IsLost bool
 }
 
 // IsRecorded reports whether the record is about the present order.
 func (s State) IsRecorded() bool {
-	return s.Record.Revision != 0 && s.Record.OrderRevision == s.Order.Revision
+	return IsAbout(s.Record.RolloutRecord, s.Order)
+}
+
+// IsAbout reports whether a record is about an order. A revision may have been given to
+// another order in an earlier era.
+func IsAbout(r domain.RolloutRecord, o Order) bool {
+	return r.State != "" && r.OrderRevision == o.Revision && r.Target == o.Target
+}
+
+// Is reports whether a message is about the order. Instances of older builds name no era.
+func (o Order) Is(revision, era uint64) bool {
+	return o.Revision != 0 && o.Revision == revision && (o.Era == era || o.Era == 0 || era == 0)
 }
--- a/lentilward/rollout_control.go
+++ b/lentilward/rollout_control.go
@@ -32,7 +32,7 @@
 			return false
 		}
 		c = &rolloutControl{
-			Controller: rollout.NewController(r.self, state, r.bounds(), r.log, now), order: state.Order.Revision,
+			Controller: rollout.NewController(r.self, state, r.bounds(), r.log, now), order: state.Order, era: eraOf(state),
 			notifiedAt: make(map[string]time.Time), told: make(map[string]rollout.Phase),
 		}
 		r.controllers[state.Service] = c
@@ -55,6 +55,9 @@
 	return true
 }
 
+// eraOf returns the era of the store in which the order and the record of a rollout are known.
+func eraOf(state rollout.State) uint64 { return max(state.Order.Era, state.Record.Era) }
+
 // isOver reports whether a controller must not go on: its order was replaced, another
 // instance has written the record, or the end was told long enough.
 func (r *rolloutRunner) isOver(c *rolloutControl, state rollout.State, now time.Time) bool {
@@ -65,7 +68,7 @@
 		c.Written(c.attempted, state.Record.Revision, now)
 	}
 	switch {
-	case c.lost, c.order != state.Order.Revision, r.isStopping(), state.Record.Revision > c.Revision():
+	case c.lost, c.order.Revision != state.Order.Revision, c.era != eraOf(state), state.IsOrderLost, r.isStopping(), state.Record.Revision > c.Revision():
 		return true
 	}
 	return !c.doneAt.IsZero() && now.Sub(c.doneAt) >= afterNoticePeriod
@@ -74,7 +77,8 @@
 // isCandidate reports whether this instance should control a rollout that it does not
 // control yet.
 func (r *rolloutRunner) isCandidate(state rollout.State, members *blackboard.Members, now time.Time) bool {
-	if state.Order.Revision == 0 || state.IsRecorded() && state.Record.State.IsFinal() || r.isStopping() {
+	isOver := state.IsRecorded() && state.Record.State.IsFinal() && !state.Record.IsLost
+	if state.Order.Revision == 0 || state.IsOrderLost || isOver || r.isStopping() {
 		return false
 	}
 	delay := time.Duration(members.Rank("rollout/"+state.Service)) * takeOverDelay
@@ -103,6 +107,7 @@
 	switch {
 	case err == nil:
 		c.Written(record, written, now)
+		r.local.NoteWritten(service, record)
 	case errors.Is(err, platform.ErrConflict):
 		// Another instance has written it, or the order has changed, or an earlier write
 		// succeeded whose answer was lost. The record tells which once it is known.
@@ -122,7 +127,7 @@
 	if phase < rollout.Moving {
 		return
 	}
-	n := rollout.Notice{Service: state.Service, Order: c.order, Phase: phase}
+	n := rollout.Notice{Service: state.Service, Order: c.order.Revision, Era: c.order.Era, Phase: phase}
 	c.Confirm(r.self, r.local.Notify(n, now), now)
 	peers := members.AlivePeers()
 	interval := max(noticeInterval, time.Duration(len(peers))*time.Millisecond)
--- a/lentilward/rollout_model_test.go
+++ b/lentilward/rollout_model_test.go
@@ -40,9 +40,9 @@
 	// sample reports whether a request is sent at all; nil if all are.
 	sample func() bool
 
-	mu       sync.Mutex
-	revision uint64
-	store    map[string]mirror.Record
+	mu            sync.Mutex
+	era, revision uint64
+	store         map[string]mirror.Record
 	// storeDown makes all writes fail. loseAnswers makes them succeed without an answer.
 	// storeSilent makes them time out.
 	storeDown, storeSilent, loseAnswers bool
@@ -85,6 +85,8 @@
 	service *balance.Service
 	stop    context.CancelFunc
 	servers []*balance.Server
+	// era is the era of the records that it knows.
+	era uint64
 	// cutOff separates the instance from all others and the store; dead stops it.
 	cutOff, dead bool
 }
@@ -94,7 +96,7 @@
 // newRolloutModel starts a fleet with three servers of v1.
 func newRolloutModel(t *testing.T, instances int) *rolloutModel {
 	m := &rolloutModel{
-		t: t, store: make(map[string]mirror.Record), byVersion: make(map[string]int),
+		t: t, era: 1, store: make(map[string]mirror.Record), byVersion: make(map[string]int),
 		behave: func(modelCall) (time.Duration, bool) { return 10 * time.Millisecond, false }, route: func() string { return "r" },
 	}
 	for i := range instances {
@@ -126,7 +128,7 @@
 	runner.local.OnAsk = runner.wakeUp
 	service := balance.NewService(rolledService, func() *balance.RetryBudget { return &balance.RetryBudget{Window: time.Second} })
 	i.m.mu.Lock()
-	i.dead, i.runner, i.service, i.servers = false, runner, service, nil
+	i.dead, i.runner, i.service, i.servers, i.era = false, runner, service, nil, i.m.era
 	records := make([]mirror.Record, 0, len(i.m.store))
 	for _, r := range i.m.store {
 		records = append(records, r)
@@ -251,7 +253,7 @@
 // put stores a record and passes it on to the instances. The caller holds mu.
 func (m *rolloutModel) put(key string, value []byte) uint64 {
 	m.revision++
-	r := mirror.Record{Key: key, Value: value, Revision: m.revision}
+	r := mirror.Record{Key: key, Value: value, Revision: m.revision, Era: m.era}
 	m.store[key] = r
 	for _, i := range m.instances {
 		i.deliver(r, 20*time.Millisecond+rand.N(200*time.Millisecond))
@@ -268,9 +270,14 @@
 			i.deliver(r, 50*time.Millisecond)
 			return
 		}
-		skip, runner := i.dead || i.m.store[r.Key].Revision != r.Revision, i.runner
+		skip, runner := i.dead || i.m.store[r.Key].Revision != r.Revision || i.m.era != r.Era, i.runner
+		isNewEra := i.era != i.m.era && !i.dead
+		i.era = i.m.era
 		i.m.mu.Unlock()
-		if !skip {
+		switch {
+		case isNewEra:
+			i.list(runner)
+		case !skip && r.Key != "":
 			runner.applyRecord(r, time.Now().Add(-delay), time.Now())
 		}
 	})
--- a/schema/domain/rollout.go
+++ b/schema/domain/rollout.go
@@ -47,4 +47,7 @@
 	Samples  int    `json:"samples"`
 	Bad      int    `json:"bad"`
 	Reason   string `json:"reason,omitempty"`
+	// Writes counts the writes of the service's record, so that the newer one of two is known
+	// although the store has come back from an older copy in between.
+	Writes int `json:"writes,omitempty"`
 }
