See the configuration's head over returns of the store

Seen: gRPC face, in a test. After the store has come back from an older copy, an instance that holds a watch on the head never sees a head again whose revision is not greater than the one before, and takes each answer for a confirmation of a configuration that the store does not have.

Cause: revisions of the head's key were compared as if they only rose.

Change: the head that is known is compared as a whole, revision and value; one that differs is read, and the newer configuration by its own revision stays in force, as before. A read and a watch that were answered in different eras tell nothing. The store confirms the configuration only if its own is not older. No calls are added.

The fakes of Wait changed only for its parameter.

--- a/lentilward/store/keyvalue.go
+++ b/lentilward/store/keyvalue.go
@@ -4,6 +4,7 @@
 package store
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/netip"
@@ -35,6 +36,12 @@
 	Revision uint64
 }
 
+// equal reports whether two entries are the same write. The store may have come back from
+// an older copy, so that the revision was given out again.
+func (e Entry) equal(other Entry) bool {
+	return e.Revision == other.Revision && bytes.Equal(e.Value, other.Value)
+}
+
 // ListedEntry is an entry with its key.
 type ListedEntry struct {
 	Key      string
@@ -56,9 +63,9 @@
 	// List returns a page of the entries whose keys have a prefix and follow a key, and
 	// whether there are more.
 	List func(ctx context.Context, prefix, after string) (page []ListedEntry, more bool, err error)
-	// Wait returns the entry of a key once its revision exceeds after, or when
+	// Wait returns the entry of a key once it is another than the known one, or when
 	// timeout has elapsed.
-	Wait func(ctx context.Context, key string, after uint64, timeout time.Duration) (Entry, error)
+	Wait func(ctx context.Context, key string, known Entry, timeout time.Duration) (Entry, error)
 }
 
 // InstanceLister returns the peer addresses of the registered instances.
@@ -115,32 +122,37 @@
 			}
 			return entries, page.More, nil
 		},
-		Wait: func(ctx context.Context, key string, after uint64, timeout time.Duration) (Entry, error) {
-			return waitForChange(ctx, c, key, after, timeout)
+		Wait: func(ctx context.Context, key string, known Entry, timeout time.Duration) (Entry, error) {
+			return waitForChange(ctx, c, key, known, timeout)
 		},
 	}
 }
 
-// waitForChange returns the entry of a key once its revision exceeds after, or when
+// waitForChange returns the entry of a key once it is another than the known one, or when
 // timeout has elapsed. It reads the key first, since the store compacts its history
-// and may no longer have the change that a watch from after would need.
-func waitForChange(ctx context.Context, c *platform.Store, key string, after uint64, timeout time.Duration) (Entry, error) {
+// and may no longer have the change that a watch would need.
+func waitForChange(ctx context.Context, c *platform.Store, key string, known Entry, timeout time.Duration) (Entry, error) {
 	page, err := c.Range(ctx, key, "")
 	if err != nil {
 		return Entry{}, translateError(err)
 	}
 	e := latestEntry(page.Items, key, Entry{})
-	if e.Revision > after {
+	if !e.equal(known) {
 		return e, nil
 	}
-	page, err = c.Watch(ctx, key, page.Revision, timeout)
+	changes, err := c.Watch(ctx, key, page.Revision, timeout)
 	if errors.Is(err, platform.ErrCompacted) {
 		return e, nil
 	}
 	if err != nil {
 		return Entry{}, translateError(err)
 	}
-	return latestEntry(page.Items, key, e), nil
+	if changes.Era != page.Era {
+		// The store came back from an older copy after the read. Its revisions may have passed
+		// that of the watch since.
+		return Entry{}, ErrUnavailable
+	}
+	return latestEntry(changes.Items, key, e), nil
 }
 
 // latestEntry returns the last entry of a key among items, or previous if there is
--- a/lentilward/store/watcher.go
+++ b/lentilward/store/watcher.go
@@ -46,6 +46,11 @@
 	// nanoseconds since start.
 	currentAt atomic.Int64
 	start     time.Time
+	// headRevision is the revision of the configuration that was last read from the store;
+	// only Run uses it. isBehind is set if that was older than the one in force when the
+	// store was last asked.
+	headRevision uint64
+	isBehind     bool
 }
 
 // NewWatcher returns a Watcher, which Run starts. Rank returns 0 and OnInstall does
@@ -79,7 +84,8 @@
 func (w *Watcher) awaitTurn(ctx context.Context) {
 	pollAt := time.Now().Add(pollInterval/2 + rand.N(pollInterval))
 	for ctx.Err() == nil && w.Rank() >= maxWatchingInstances && time.Now().Before(pollAt) {
-		if age := w.Age(); age > maxConfirmedAge {
+		// A store that is behind confirms nothing, however often it is read.
+		if age := w.Age(); age > maxConfirmedAge && !w.isBehind {
 			w.log.Info("no peer confirms the configuration; reading the store", "age", age, "revision", w.board.Config.Load().Revision)
 			return
 		}
@@ -89,12 +95,12 @@
 
 // Run installs new configurations until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	var keyRevision uint64
+	var known Entry
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		next, err := w.waitAndInstall(ctx, keyRevision)
+		next, err := w.waitAndInstall(ctx, known)
 		if err == nil {
-			keyRevision = next
+			known = next
 			backoff = minBackoff
 			continue
 		}
@@ -105,32 +111,41 @@
 }
 
 // waitAndInstall waits for one change of the head, by watch or by poll according to
-// Rank, and installs it. It returns the revision of the head key to wait for next.
-func (w *Watcher) waitAndInstall(ctx context.Context, after uint64) (uint64, error) {
-	if w.Rank() >= maxWatchingInstances && after > 0 {
+// Rank, and installs it. It returns the head that is known then.
+func (w *Watcher) waitAndInstall(ctx context.Context, known Entry) (Entry, error) {
+	if w.Rank() >= maxWatchingInstances && known.Revision > 0 {
 		w.awaitTurn(ctx)
-		after = 0
+		known = Entry{}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
 	defer cancel()
 	begunAt := time.Now()
-	e, err := w.store.kv.Wait(callCtx, headKey, after, watchTimeout)
+	e, err := w.store.kv.Wait(callCtx, headKey, known, watchTimeout)
 	if err != nil {
-		return after, err
+		return known, err
 	}
 	// The store replied no later than at the end of the wait.
 	age := max(0, time.Since(begunAt)-watchTimeout)
-	if e.Revision <= after {
-		w.MarkCurrent(age)
-		return after, nil
+	if e.equal(known) {
+		w.confirm(age)
+		return known, nil
 	}
 	c, err := w.store.resolveHead(callCtx, e)
 	if err != nil {
-		return after, err
+		return known, err
 	}
 	w.install(c)
-	w.MarkCurrent(time.Since(begunAt))
-	return e.Revision, nil
+	w.headRevision = c.Revision
+	w.confirm(time.Since(begunAt))
+	return e, nil
+}
+
+// confirm records that the configuration in force was the newest as long ago as age, unless
+// the store has an older one and so does not tell.
+func (w *Watcher) confirm(age time.Duration) {
+	if w.isBehind = w.headRevision < w.board.Config.Load().Revision; !w.isBehind {
+		w.MarkCurrent(age)
+	}
 }
 
 func (w *Watcher) install(c *blackboard.Config) {
--- a/lentilward/store/watcher_test.go
+++ b/lentilward/store/watcher_test.go
@@ -21,12 +21,12 @@
 		board := blackboard.New(blackboard.LocalInstance{})
 		kv := fake.keyValue()
 		calls := 0
-		kv.Wait = func(ctx context.Context, key string, after uint64, timeout time.Duration) (Entry, error) {
+		kv.Wait = func(ctx context.Context, key string, known Entry, timeout time.Duration) (Entry, error) {
 			if calls++; calls == 2 {
 				<-ctx.Done()
 				return Entry{}, ctx.Err()
 			}
-			if e, err := kv.Get(ctx, key); err != nil || e.Revision != after {
+			if e, err := kv.Get(ctx, key); err != nil || e.Revision != known.Revision {
 				return e, err
 			}
 			time.Sleep(timeout)
@@ -70,9 +70,9 @@
 				board := blackboard.New(blackboard.LocalInstance{})
 				kv := fake.keyValue()
 				var calls atomic.Int32
-				kv.Wait = func(ctx context.Context, key string, after uint64, timeout time.Duration) (Entry, error) {
+				kv.Wait = func(ctx context.Context, key string, known Entry, timeout time.Duration) (Entry, error) {
 					calls.Add(1)
-					if e, err := kv.Get(ctx, key); err != nil || e.Revision != after {
+					if e, err := kv.Get(ctx, key); err != nil || e.Revision != known.Revision {
 						return e, err
 					}
 					time.Sleep(timeout)
