Write the claim of a request in progress again after a return

Seen: gRPC face, in a test. If the store comes back from a copy without the claim of a request that is running, the result can't be stored, and the caller who resends the request has it run a second time.

Change: an update of a claim that conflicts reads the claim, and writes it anew if it is gone or still this instance's. A claim of another instance stays. Calls are added after a conflict only.

What is left: a claim that was finished before the return, and is lost, lets a resend run again, as does one whose resend comes before the update.

Evidence: TestClaimIsWrittenAgainAfterStoreReturned failed before with "finish: key does not have the expected revision" and "a request that has finished can be claimed again: {State: Result:[]}, error <nil>".

--- a/lentilward/store/claims.go
+++ b/lentilward/store/claims.go
@@ -129,13 +129,30 @@
 
 // Finish stores the result of the request, which a resend then receives.
 func (k *Claim) Finish(ctx context.Context, result []byte) error {
-	return k.put(ctx, k.revision.Load(), ClaimDone, result)
+	return k.update(ctx, ClaimDone, result)
 }
 
 // Release gives up the claim of a request that has not run, so that a resend may
 // run it.
 func (k *Claim) Release(ctx context.Context) error {
-	return k.put(ctx, k.revision.Load(), ClaimReleased, nil)
+	return k.update(ctx, ClaimReleased, nil)
+}
+
+// update writes a new state. It creates the claim again if it is gone, as it is after the
+// store has come back from an older copy, but leaves that of another instance.
+func (k *Claim) update(ctx context.Context, state ClaimState, result []byte) error {
+	err := k.put(ctx, k.revision.Load(), state, result)
+	if !errors.Is(err, ErrConflict) {
+		return err
+	}
+	e, value, readErr := k.read(ctx)
+	if readErr != nil {
+		return readErr
+	}
+	if e.Revision != 0 && value.Owner != k.owner {
+		return err
+	}
+	return k.put(ctx, e.Revision, state, result)
 }
 
 func (k *Claim) put(ctx context.Context, expected uint64, state ClaimState, result []byte) error {
--- a/lentilward/store/claims_test.go
+++ b/lentilward/store/claims_test.go
@@ -179,3 +179,40 @@
 		})
 	}
 }
+
+// Guards against a request that runs again although it has finished, because the store has
+// come back from a copy without its claim while it ran; and against a result that replaces
+// the claim of another instance.
+func TestClaimIsWrittenAgainAfterStoreReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakeKV(1)
+		a, b := NewClaims(fake.keyValue(), "a", slog.New(slog.DiscardHandler)), NewClaims(fake.keyValue(), "b", slog.New(slog.DiscardHandler))
+		acquire := func(c *Claims, request string) *Claim {
+			t.Helper()
+			claim, _, err := c.Acquire(t.Context(), "caller", request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return claim
+		}
+		finished, released, contested := acquire(a, "1"), acquire(a, "2"), acquire(a, "3")
+		clear(fake.entries)
+		acquire(b, "3")
+		if err := finished.Finish(t.Context(), []byte("result")); err != nil {
+			t.Errorf("finish: %v", err)
+		}
+		if err := released.Release(t.Context()); err != nil {
+			t.Errorf("release: %v", err)
+		}
+		if err := contested.Finish(t.Context(), []byte("other")); !errors.Is(err, ErrConflict) {
+			t.Errorf("finish of a request that another instance has claimed: %v, want %v", err, ErrConflict)
+		}
+		if _, earlier, err := b.Acquire(t.Context(), "caller", "1"); !errors.Is(err, ErrClaimed) || string(earlier.Result) != "result" {
+			t.Errorf("a request that has finished can be claimed again: %+v, error %v", earlier, err)
+		}
+		acquire(b, "2")
+		if _, earlier, err := a.Acquire(t.Context(), "caller", "3"); !errors.Is(err, ErrClaimed) || earlier.State != ClaimTaken {
+			t.Errorf("claim of another instance: %+v, error %v", earlier, err)
+		}
+	})
+}
