Ask peers to confirm records that the store does not confirm to one instance

What callers saw: while the store fails for one instance and serves the others, this instance went on using a server that left without draining for up to 4.2 s (drain period: 3 s). Servers that drain were dropped at once.

Cause: an instance whose calls to the store have just failed takes a deleted record for a possible mass expiry. It keeps the server for 2.2 s and then until the records are confirmed again. The store does not confirm them to it, or only after a pause of up to 2.25 s after failed calls, and peers pass on only the ends of their own watches, which may be 1.9 s apart.

Change: when a confirmation has been due for 150 ms, two peers are asked that read the store. They ask it at once, as for themselves, and answer with their records and their age. Where the store answers in time, no other calls are made than before.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -78,6 +78,8 @@
 	Paced func() bool
 	// connecting has the addresses of the peers that connectPeer is connecting to.
 	connecting sync.Map
+	// asksPeers is set while peers are asked whether the records are up to date.
+	asksPeers atomic.Bool
 	// peersCheckedAt is when checkPeers has last pinged the peers.
 	peersCheckedAt atomic.Pointer[time.Time]
 	// listen opens a listener at one of the instance's addresses.
@@ -173,6 +175,7 @@
 		delta.Age = age
 		return peer.RecordsReply{Delta: delta, Suspects: g.suspects.All()}
 	}
+	g.peers.ConfirmRecords = func(ctx context.Context) { g.follower.AwaitConfirmation(ctx, confirmByPeerWait) }
 	g.fleet = newFleetSize(g.board, len(g.options.Load().Peers)+1, func() time.Duration { return time.Duration(g.options.Load().RetryBudget.Window) })
 	g.metrics.RegisterGauge("lentilward_peer_sent_bytes", "Bytes sent to peers.",
 		func() float64 { return float64(traffic.SentBytes.Load()) })
@@ -212,11 +215,15 @@
 	}
 	g.log.Debug("received records from a peer", "peer", address, "since", since, "version", delta.Version(), "records", len(delta.Records),
 		"age", delta.Age, "took", time.Since(begunAt))
-	g.mirror.Merge(delta.Delta)
-	if g.mirror.Version().Era == delta.Era {
-		g.follower.MarkCurrent(delta.Age)
+	g.mergeFromPeer(delta)
+}
+
+func (g *Gateway) mergeFromPeer(reply peer.RecordsReply) {
+	g.mirror.Merge(reply.Delta)
+	if g.mirror.Version().Era == reply.Era {
+		g.follower.MarkCurrent(reply.Age)
 	}
-	g.suspects.Merge(delta.Suspects)
+	g.suspects.Merge(reply.Suspects)
 }
 
 // transferState fetches from a peer what gossip does not repeat: the suspect
@@ -236,7 +243,7 @@
 		Server: platform.DecodeServer, Instance: platform.DecodeInstance, Withdrawn: platform.DecodeWithdrawn,
 	}, g.log)
 	g.directory.InstanceCount = g.fleet.size
-	g.directory.SinceStoreReturn, g.directory.RecordAge, g.directory.Confirm = g.follower.SinceReturn, g.follower.Age, g.follower.Confirm
+	g.directory.SinceStoreReturn, g.directory.RecordAge, g.directory.Confirm = g.follower.SinceReturn, g.follower.Age, g.confirmRecords
 	g.metrics.RegisterGauge("lentilward_configuration_version", "Version of the configuration in force; 0 without one.", func() float64 {
 		if snapshot := g.directory.Current.Load(); snapshot != nil {
 			return float64(snapshot.Configuration.Version)
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -77,6 +77,8 @@
 	// later confirmation shows that the store serves again; returnedAt is when it did.
 	failedAt, returnedAt time.Time
 	isAway               bool
+	// confirmAskedAt is when the first request by Confirm was made since then.
+	confirmAskedAt time.Time
 
 	// List returns one page of the records whose keys come after a key.
 	List func(ctx context.Context, after string) (*Page, error)
@@ -151,7 +153,7 @@
 	defer timer.Stop()
 	select {
 	case <-f.confirmRequested:
-		f.Confirm()
+		f.requestConfirmation()
 		return true
 	case <-timer.C:
 	case <-ctx.Done():
@@ -335,12 +337,3 @@
 	defer f.mu.Unlock()
 	f.isAway, f.returnedAt = false, time.Now()
 }
-
-// Confirm makes this instance ask the store at once whether the mirror is up to date,
-// also if it gets its records from peers.
-func (f *Follower) Confirm() {
-	select {
-	case f.confirmRequested <- struct{}{}:
-	default:
-	}
-}
--- a/lentilward/peer/calls.go
+++ b/lentilward/peer/calls.go
@@ -57,6 +57,14 @@
 	return reply, err
 }
 
+// ConfirmRecords is as FetchRecords from a peer that asks the store first whether its records
+// are up to date.
+func (l *Links) ConfirmRecords(ctx context.Context, address netip.AddrPort, since blackboard.Version) (RecordsReply, error) {
+	var reply RecordsReply
+	err := l.call(ctx, address, kindRecords, recordsBody{Since: since.Revision, Era: since.Era, Confirm: true}, &reply)
+	return reply, err
+}
+
 // ReportSuspects reports suspect requests to peers. It returns once all have replied, or
 // after suspectReportTimeout, with those that have run well on a peer since.
 func (l *Links) ReportSuspects(ctx context.Context, peers []blackboard.Member, suspects []suspect.Report) []suspect.Report {
--- a/lentilward/peer/frame.go
+++ b/lentilward/peer/frame.go
@@ -75,6 +75,8 @@
 type recordsBody struct {
 	Since uint64 `cbor:"since"`
 	Era   uint64 `cbor:"era,omitempty"`
+	// Confirm makes the receiver ask the store first whether its records are up to date.
+	Confirm bool `cbor:"confirm,omitempty"`
 }
 
 // cancelBody cancels a gather. Abandoned is set if the caller has disconnected; the
--- a/lentilward/peer/server.go
+++ b/lentilward/peer/server.go
@@ -53,6 +53,9 @@
 	// Records returns the records changed after a revision, and the suspect
 	// requests.
 	Records func(since blackboard.Version) RecordsReply
+	// ConfirmRecords asks the store whether the records are up to date, for a peer that can't,
+	// and waits a moment for the answer.
+	ConfirmRecords func(ctx context.Context)
 	// Proof answers a peer that asks for this instance's proof.
 	Proof func(ctx context.Context, q proof.Question) (proof.Answer, error)
 	// Gather runs part of a search for a peer, and passes each partial result to
@@ -75,14 +78,14 @@
 }
 
 // NewServer returns a server. Its function fields must be set before it serves;
-// Records, Proof, Gather, MergePace and the functions about limits have defaults that return
+// Records, ConfirmRecords, Proof, Gather, MergePace and the functions about limits have defaults that return
 // nothing.
 func NewServer(board *blackboard.Board, permits *Permits, traffic *Traffic, log *slog.Logger) *Server {
 	return &Server{
 		board: board, permits: permits, traffic: traffic, log: log,
-		Records: func(blackboard.Version) RecordsReply { return RecordsReply{} },
-		Proof:   noProof,
-		Gather:  func(context.Context, scatter.Gather, func(scatter.Partial)) {},
+		Records: func(blackboard.Version) RecordsReply { return RecordsReply{} }, ConfirmRecords: func(context.Context) {},
+		Proof:  noProof,
+		Gather: func(context.Context, scatter.Gather, func(scatter.Partial)) {},
 
 		LendQuota:  func(quota.Ask, bool) QuotaReply { return QuotaReply{} },
 		QuotaHomes: func([]string) []netip.AddrPort { return nil },
@@ -197,6 +200,9 @@
 		return handleBody(f, func(b configBody) (any, error) { return s.board.Config.Load().DeltaFrom(b.Since), nil })
 	case kindRecords:
 		return handleBody(f, func(b recordsBody) (any, error) {
+			if b.Confirm {
+				s.ConfirmRecords(ctx)
+			}
 			return s.Records(blackboard.Version{Era: b.Era, Revision: b.Since}), nil
 		})
 	case kindProof:
