Hold records of a copy that is newer than what an instance knew

What callers would see: after several returns a server that has left is used again for some seconds, by an instance that saw it leave; or 10 s after a return, by one that is cut off and does not know that its record is gone again.

Cause: a copy may be older than the end of a server and yet newer than the last heartbeat that an instance had seen. And the end of the hold was taken for the store's word although nothing had confirmed the records since.

Change: the records of the first listing of an era are marked, since only they can be of the copy; later changes are news. One of them does not bring back a server that left, whatever its heartbeat, until the end of the hold, and that must be confirmed by the store or a peer.

--- a/lentilward/directory/era.go
+++ b/lentilward/directory/era.go
@@ -100,29 +100,28 @@
 	applyRecord copyVerdict = iota
 	// keepKnown means that the server is in use and the record is not newer.
 	keepKnown
-	// holdRecord means that the record is of a copy from before the server left or was
-	// restarted, unless the store still has it after returnHold.
+	// holdRecord means that the record may be from before the server left or was restarted. It
+	// counts if the store still has it after returnHold.
 	holdRecord
 	// ignoreRecord means that the record is of a copy from before the server began to drain.
 	ignoreRecord
 )
 
-// judgeCopy decides about a record that may be of a copy of the store: one of a later era
-// than what is known of the server, and not of a newer process or heartbeat.
+// judgeCopy decides about the record of a server that may be of the copy from which the store
+// came back. A later heartbeat than the last one that is known does not show that a server
+// lives that has left.
 func (d *Directory) judgeCopy(r mirror.Record, b domain.BackendServer, now time.Time) copyVerdict {
 	known, found := d.findKnown(r.Key, now)
-	if !found || known.era >= r.Era || b.Draining && !known.draining {
+	if !r.Copied || !found || known.era >= r.Era || b.Draining && !known.draining {
 		return applyRecord
 	}
 	sameProcess := b.Incarnation == known.incarnation
 	isNewer := cmp.Or(cmp.Compare(b.Incarnation, known.incarnation), cmp.Compare(b.Sequence, known.sequence)) > 0
 	switch {
-	case isNewer:
+	case isNewer && !(known.gone && sameProcess):
 		return applyRecord
 	case known.draining && sameProcess:
 		return ignoreRecord
-	case !now.Before(d.holdUntil()):
-		return applyRecord
 	case known.gone || !sameProcess:
 		return holdRecord
 	}
@@ -179,9 +178,10 @@
 	return withdrawn
 }
 
-// endHold takes over what the store still has, or still lacks, returnHold after its return.
+// endHold takes over what the store still has, or still lacks, returnHold after its return. The
+// store or a peer must confirm it then: this instance may be cut off from both.
 func (d *Directory) endHold(now time.Time) {
-	if now.Before(d.holdUntil()) {
+	if holdUntil := d.holdUntil(); now.Before(holdUntil) || d.confirmedAt.Before(holdUntil) {
 		return
 	}
 	for dataCentre, w := range d.withdrawn {
@@ -191,9 +191,9 @@
 		}
 	}
 	for _, r := range d.held {
+		r.Copied = false
 		d.applyServer(r, now)
 	}
-	clear(d.held)
 }
 
 // isHolding reports whether endHold has something to take over.
--- a/lentilward/directory/era_test.go
+++ b/lentilward/directory/era_test.go
@@ -17,6 +17,14 @@
 	return records
 }
 
+// copied marks records of the first listing of an era.
+func copied(records []mirror.Record) []mirror.Record {
+	for i := range records {
+		records[i].Copied = true
+	}
+	return records
+}
+
 // Guards against a server that is used again because the store came back from a copy made
 // before the server drained or left (DRAIN).
 func TestServersThatDrainOrHaveLeftAreNotTakenFromACopy(t *testing.T) {
@@ -31,8 +39,7 @@
 		td.applyRecords(inEra(1, mirror.Record{Key: "servers/left", Deleted: true})...)
 		td.wantUsable(1, "one drains and one has left")
 
-		td.d.NoteNewEra()
-		td.applyRecords(inEra(2, ready()...)...)
+		td.returnAs(2, ready()...)
 		time.Sleep(time.Second)
 		td.wantUsable(1, "the copy has both as ready")
 
@@ -63,9 +70,8 @@
 		td.wantUsable(1, "the operator has lifted the withdrawal")
 
 		td.applyRecords(inEra(2, withdrawn)...)
-		td.d.NoteNewEra()
-		td.applyRecords(inEra(3, lifted)...)
-		time.Sleep(returnHold + time.Second)
+		td.returnAs(3, lifted)
+		td.passTime(returnHold + time.Second)
 		td.wantUsable(1, "the operator has not written the withdrawal again")
 	})
 }
@@ -112,7 +118,7 @@
 func (td *testDirectory) returnAs(era uint64, records ...mirror.Record) {
 	td.d.NoteNewEra()
 	td.sinceStoreReturn.Store(0)
-	td.applyRecords(inEra(era, records...)...)
+	td.applyRecords(copied(inEra(era, records...))...)
 }
 
 // Guards against live servers that are not used any more after a return of the store, because
--- a/lentilward/directory/snapshot.go
+++ b/lentilward/directory/snapshot.go
@@ -34,6 +34,10 @@
 		}
 	}
 	d.recheckAt = time.Time{}
+	if d.isHolding() && !now.Before(d.holdUntil()) {
+		d.Confirm()
+		unconfirmed = true
+	}
 	if unconfirmed {
 		d.recheckAt = now.Add(confirmInterval)
 	}
--- a/lentilward/mirror/mirror.go
+++ b/lentilward/mirror/mirror.go
@@ -18,8 +18,11 @@
 	Value    []byte
 	Revision uint64
 	Deleted  bool
-	// Era is the era of the store in which this instance learned of the record.
-	Era uint64 `cbor:"-"`
+	// Era is the era of the store in which this instance learned of the record. Copied is set
+	// if that was with the first listing of the era, so that the record may be one of the copy
+	// from which the store came back.
+	Era    uint64 `cbor:"-"`
+	Copied bool   `cbor:"-"`
 }
 
 // Delta is the difference between a version and a mirror's present state.
@@ -152,7 +155,7 @@
 	records := make(map[string]Record, len(listed))
 	changed := make([]Record, 0, len(listed))
 	for _, r := range listed {
-		r.Era = v.Era
+		r.Era, r.Copied = v.Era, true
 		records[r.Key] = r
 		changed = append(changed, r)
 	}
@@ -196,7 +199,7 @@
 		if exists && (r.Revision < old.Revision || isSame) {
 			continue
 		}
-		r.Era = m.version.Era
+		r.Era, r.Copied = m.version.Era, false
 		m.records[r.Key] = r
 		changed = append(changed, r)
 	}
--- a/lentilward/store_return_checks_test.go
+++ b/lentilward/store_return_checks_test.go
@@ -133,7 +133,7 @@
 		if s == nil {
 			continue
 		}
-		isDue := s.draining || undisturbed >= recoveryPeriod+expiryAllowance
+		isDue := s.draining || undisturbed >= recoveryPeriod
 		if isDue && !s.announcedAt.IsZero() && m.isOlder(standin.ServerKey(id), drainPeriod) {
 			m.fail(i, "%s is used", id)
 		}
@@ -149,10 +149,6 @@
 	return !at.IsZero() && time.Since(at) >= period
 }
 
-// expiryAllowance is how much longer after a fault a server that leaves unannounced is used:
-// an instance that has reached nobody for a time takes its missing record for a mass expiry.
-const expiryAllowance = 1500 * time.Millisecond
-
 // withdrawalBound is how long after its acknowledgement a withdrawal may not be in force.
 const withdrawalBound = 5 * time.Second
 
