Let the store of the soak return from a copy, and check bounds in time

What was missing: the soak never let the store come back from an older copy, did not check that a change of the configuration is in force in time or that no older one comes back, and passed over drains for 12 s after each fault of the store.

New faults: `store-returns` (a copy is taken, others write, the store is away for 0.9 s and comes back, up to three times in a row; the operator writes what was acknowledged last again, and the servers do with their next heartbeats, which raise their sequence) and `withdrawal` of one data centre for 8 s. A write that was lost with a delay is followed by writing again, too.

New checks: each version adds a route without keys, which must be known 3.5 s after the acknowledgement and, within one process, from 250 ms after its first use on (2 s beside a disturbance). Only one of two servers of a service now says in its replies that it leaves, since that hides a drain that is not in force. A key that was withdrawn is exempt only at a process that was started around a return, until 5 s after the configuration was written again.

So that bounds bind at all, 12 s with all faults (mean interval 0.25 s instead of 0.7 s) are followed by a return and 17.5 s of faults that disturb neither instances nor the store.

Restarts among all faults had hidden what a return had done; now a return follows them.

--- a/lentilsoak/caller.go
+++ b/lentilsoak/caller.go
@@ -26,7 +26,8 @@
 )
 
 // sendRequests sends requests to ready instances, one after another, until the end
-// of the run: one in four is non-idempotent, the others are searches.
+// of the run: one in four is non-idempotent, one in four asks for the route of a version, the
+// others are searches.
 func (s *soak) sendRequests(number int, until time.Time) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 2 * requestTimeout}
 	for n := 0; time.Now().Before(until); n++ {
@@ -36,9 +37,12 @@
 			continue
 		}
 		id := fmt.Sprintf("c%d-%d", number, n)
-		if rand.IntN(4) == 0 {
+		switch rand.IntN(4) {
+		case 0:
 			s.sendNonIdempotent(i, id)
-		} else {
+		case 1:
+			s.sendToVersion(client, i, id)
+		default:
 			s.sendSearch(client, i, id)
 		}
 	}
@@ -52,8 +56,14 @@
 	r.Host = "soak"
 	r.Header.Set(standin.RequestIDHeader, id)
 	r.Header.Set(standin.DeadlineHeader, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	return r
+}
+
+// newKeyedRequest returns a request to a route that needs a key.
+func (s *soak) newKeyedRequest(method, path, id string, i *instance) *http.Request {
+	r := s.newRequest(method, path, id, i)
 	if s.withKeys {
-		s.setKey(r, id)
+		s.setKey(r, id, i)
 	}
 	return r
 }
@@ -63,7 +73,7 @@
 func (s *soak) sendNonIdempotent(i *instance, id string) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * requestTimeout}
 	begin := time.Now()
-	r, err := client.Do(s.newRequest(http.MethodPost, "/one/"+id, id, i))
+	r, err := client.Do(s.newKeyedRequest(http.MethodPost, "/one/"+id, id, i))
 	if err != nil {
 		s.recordLostReply(i, id, begin, err)
 		return
@@ -90,7 +100,7 @@
 
 func (s *soak) sendSearch(client *http.Client, i *instance, id string) {
 	begin := time.Now()
-	r, err := client.Do(s.newRequest(http.MethodGet, "/all/x?"+id, id, i))
+	r, err := client.Do(s.newKeyedRequest(http.MethodGet, "/all/x?"+id, id, i))
 	if err != nil {
 		s.recordLostReply(i, id, begin, err)
 		return
--- a/lentilsoak/instance.go
+++ b/lentilsoak/instance.go
@@ -26,6 +26,8 @@
 	httpAddress, readinessAddress string
 	peerAddress, monitorAddress   string
 	storeProxy                    *proxy
+	// calm is disturbed by starts, faults of the process and of its links.
+	calm
 	// restarting is set from the signal that stops the process until the next one is
 	// started.
 	restarting atomic.Bool
@@ -38,6 +40,9 @@
 	// lose replies around that time.
 	disruptedAt time.Time
 	exited      chan struct{}
+	startedAt   time.Time
+	// served are the versions by which the process has handled requests, rising.
+	served []ack
 }
 
 // Instances listen on ports below those that the kernel gives to outgoing connections, one of
@@ -98,7 +103,8 @@
 	}
 	exited := make(chan struct{})
 	i.mu.Lock()
-	i.process, i.exited = c.Process, exited
+	i.process, i.exited, i.startedAt, i.served = c.Process, exited, time.Now(), nil
+	i.disturb(0)
 	i.mu.Unlock()
 	go func() {
 		if err := c.Wait(); !i.restarting.Load() {
@@ -117,6 +123,7 @@
 	defer i.mu.Unlock()
 	if disruptive {
 		i.disruptedAt = time.Now()
+		i.disturb(0)
 	}
 	i.process.Signal(s)
 	return i.exited
@@ -130,6 +137,9 @@
 	return i.disruptedAt.After(since.Add(-2 * time.Second))
 }
 
+// heldSince reports whether the instance was undisturbed at a time and later.
+func (i *instance) heldSince(t time.Time) bool { return !i.restarting.Load() && i.calm.heldSince(t) }
+
 // isReady reports whether the instance answers the load balancer's readiness poll
 // within 1 s.
 func (i *instance) isReady() bool {
--- a/lentilsoak/ledger.go
+++ b/lentilsoak/ledger.go
@@ -13,6 +13,9 @@
 // received and which checks failed (the findings).
 type ledger struct {
 	answered, refused, failed atomic.Int64
+	// judged, drainsJudged and withdrawalsJudged count the requests, drains and withdrawals
+	// for which a bound in time held.
+	judged, drainsJudged, withdrawalsJudged atomic.Int64
 	// peakMemory is the largest resident memory of an instance in MiB.
 	peakMemory atomic.Int64
 	lateKeys   sync.Map
--- a/lentilsoak/main.go
+++ b/lentilsoak/main.go
@@ -31,8 +31,9 @@
 	for _, f := range findings {
 		fmt.Println("finding:", f)
 	}
-	fmt.Printf("seed=%d answered=%d refused=%d failed=%d faults=%d peak-mib=%d findings=%d\n", *seed, s.ledger.answered.Load(),
-		s.ledger.refused.Load(), s.ledger.failed.Load(), s.faultCount, s.ledger.peakMemory.Load(), len(findings))
+	fmt.Printf("seed=%d answered=%d refused=%d failed=%d faults=%d returns=%d judged=%d,%d,%d peak-mib=%d findings=%d\n", *seed, s.ledger.answered.Load(),
+		s.ledger.refused.Load(), s.ledger.failed.Load(), s.faultCount, s.returnCount.Load(), s.ledger.judged.Load(), s.ledger.drainsJudged.Load(),
+		s.ledger.withdrawalsJudged.Load(), s.ledger.peakMemory.Load(), len(findings))
 	if len(findings) > 0 || s.ledger.answered.Load() == 0 {
 		os.Exit(1)
 	}
--- a/lentilsoak/server.go
+++ b/lentilsoak/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,8 @@
 	// maxDrainDelay is how long a server may still receive new requests after it was
 	// registered as draining, including delays of the test environment itself.
 	maxDrainDelay = 3500 * time.Millisecond
+	// maxWithdrawalDelay is the same for the withdrawal of a data centre.
+	maxWithdrawalDelay = 5500 * time.Millisecond
 )
 
 // Modes of a server: slow multiplies the service time, shedding refuses a share of
@@ -40,22 +43,31 @@
 
 // server simulates one backend server. Instances connect to its proxy.
 type server struct {
-	id, service, dataCentre string
-	ledger                  *ledger
-	proxy                   *proxy
-	mode                    atomic.Int32
+	id, service string
+	dataCentre  *dataCentre
+	ledger      *ledger
+	proxy       *proxy
+	// link is disturbed by faults of the connections to the server.
+	link calm
+	mode atomic.Int32
 	// usualMode is the mode while no fault is injected.
 	usualMode int32
-	// drainingSince is when the store accepted the record of the server as draining,
-	// in nanoseconds since 1970; 0 while the server is not draining.
-	drainingSince atomic.Int64
-	// inStoreFault reports whether the store has or recently had a fault; requests to
-	// a draining server are then not findings.
-	inStoreFault func() bool
+	// leaving is set while the server drains; announces is set if its replies say so.
+	leaving   atomic.Bool
+	announces bool
+	// drain is what the store has acknowledged of it.
+	drain bar
+	// inTouch reports whether bounds in time hold for all instances.
+	inTouch func() bool
+
+	// writing is held while the record of the server is written.
+	writing  sync.Mutex
+	draining bool
+	sequence int
 }
 
-func newServer(id, service, dataCentre string, l *ledger, inStoreFault func() bool) (*server, error) {
-	s := &server{id: id, service: service, dataCentre: dataCentre, ledger: l, inStoreFault: inStoreFault}
+func newServer(id, service string, d *dataCentre, l *ledger, inTouch func() bool) (*server, error) {
+	s := &server{id: id, service: service, dataCentre: d, ledger: l, inTouch: inTouch}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -73,10 +85,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if since := s.drainingSince.Load(); since != 0 && time.Since(time.Unix(0, since)) > maxDrainDelay && !s.inStoreFault() {
-		s.ledger.addFinding("server %s received request %s %v after the server was registered as draining", s.id, id, time.Since(time.Unix(0, since)))
-	}
-	if s.drainingSince.Load() != 0 {
+	s.checkBar(id, "registered as draining", s.drain.age(), maxDrainDelay)
+	s.checkBar(id, "withdrawn with "+s.dataCentre.name, s.dataCentre.withdrawal.age(), maxWithdrawalDelay)
+	if s.announces && s.leaving.Load() {
 		w.Header().Set(standin.ServerLeavingHeader, "1")
 	}
 	if gone, late := s.ledger.lateKeys.Load(id); late {
@@ -120,6 +131,14 @@
 	io.WriteString(w, records(s.service, id))
 }
 
+// checkBar checks that no request arrives longer than a bound after the server was barred.
+// The rules ("Held up") exempt a server whose connections were disturbed within stableWindow.
+func (s *server) checkBar(id, state string, age, bound time.Duration) {
+	if age > bound && s.link.heldSince(time.Now().Add(-stableWindow)) && s.inTouch() {
+		s.ledger.addFinding("server %s received request %s at %s, %v after it was %s", s.id, id, time.Now().Format(time.TimeOnly+".000"), age, state)
+	}
+}
+
 // sendOddStatus answers with a status that no reply can have and closes the connection.
 func (s *server) sendOddStatus(w http.ResponseWriter, id string) {
 	c, _, err := w.(http.Hijacker).Hijack()
--- a/lentilsoak/soak.go
+++ b/lentilsoak/soak.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,17 +27,12 @@
 	// end.
 	endlessCallerCount = 150
 	// meanFaultInterval is the mean time between two faults.
-	meanFaultInterval = 700 * time.Millisecond
-	// storeRecoveryPeriod is how long after the end of a store fault the checks that
-	// depend on the store stay suspended.
-	storeRecoveryPeriod = 12 * time.Second
+	meanFaultInterval = 250 * time.Millisecond
 )
 
 // shardSets are the sets of shards between which configuration changes alternate.
 var shardSets = [][]string{{"s1", "s2", "s3", "s4", "s5"}, {"s4", "s5", "s6", "s7", "s8"}}
 
-var dataCentres = []string{"north", "south", "west"}
-
 // soak is one run with its simulated environment, instances and findings.
 type soak struct {
 	rand    *rand.Rand
@@ -54,17 +49,20 @@
 	instances     []*instance
 	settingsPaths map[*instance]string
 	faultCount    int
-	configVersion int
+	operator      operator
+	dataCentres   []*dataCentre
+	// withdrawing is set while a data centre is withdrawn.
+	withdrawing atomic.Bool
+	returnCount atomic.Int64
 	// withKeys is set if callers need keys: each version of the configuration withdraws
-	// that of the one before at the time in withdrawnAt. Until lateWritesUntil, in
-	// nanoseconds since 1970, late writes may bring old versions back.
-	withKeys                   bool
-	keyNumber, lateWritesUntil atomic.Int64
-	withdrawnAt                sync.Map
-	// storeFaultUntil is the time until which checks that depend on the store are
-	// suspended, in nanoseconds since 1970.
-	storeFaultUntil atomic.Int64
-	readiness       sync.Map
+	// that of the one before at the time in withdrawnAt. lateWrites is disturbed while late
+	// writes may bring old versions back.
+	withKeys    bool
+	keyNumber   atomic.Int64
+	lateWrites  calm
+	withdrawnAt sync.Map
+	storeCalm   calm
+	readiness   sync.Map
 	// restarts are the restarts in progress.
 	restarts sync.WaitGroup
 }
@@ -88,13 +86,17 @@
 	go http.Serve(listener, s.store.Handler())
 	address := listener.Addr().String()
 	s.client = platform.NewStore(netip.MustParseAddrPort(address), http.DefaultClient)
+	for _, name := range []string{"north", "south", "west"} {
+		s.dataCentres = append(s.dataCentres, &dataCentre{name: name})
+	}
 	for n := range 8 {
 		for k := range 2 {
 			service := fmt.Sprint("s", n+1)
-			server, err := newServer(fmt.Sprintf("i-%s-%d", service, k), service, dataCentres[(n+k)%len(dataCentres)], s.ledger, s.inStoreFault)
+			server, err := newServer(fmt.Sprintf("i-%s-%d", service, k), service, s.dataCentres[(n+k)%len(s.dataCentres)], s.ledger, s.inTouch)
 			if err != nil {
 				return nil, err
 			}
+			server.announces = k == 1
 			if endlessServers && k == 1 {
 				server.usualMode = endless
 				server.mode.Store(endless)
@@ -103,7 +105,7 @@
 		}
 	}
 	for n := range instanceCount {
-		i, err := newInstance(fmt.Sprint("instance-", n+1), dataCentres[n%len(dataCentres)], address)
+		i, err := newInstance(fmt.Sprint("instance-", n+1), s.dataCentres[n%len(s.dataCentres)].name, address)
 		if err != nil {
 			return nil, err
 		}
@@ -113,7 +115,15 @@
 	return s, nil
 }
 
-func (s *soak) inStoreFault() bool { return time.Now().UnixNano() < s.storeFaultUntil.Load() }
+// inTouch reports whether bounds in time hold for all instances: which of them sent a request
+// can't be told, since they send for each other. The rules ("In touch") exempt those that were
+// started, stopped, frozen or cut from the store within stableWindow, and all of them if the
+// store was disturbed within it.
+func (s *soak) inTouch() bool {
+	since := time.Now().Add(-stableWindow)
+	disturbed := func(i *instance) bool { return !i.heldSince(since) }
+	return s.storeCalm.heldSince(since) && !slices.ContainsFunc(s.instances, disturbed)
+}
 
 // pickReadyInstance picks a random instance. It returns nil if the load balancer
 // would not route requests to that instance.
@@ -131,6 +141,7 @@
 	s.publishConfiguration()
 	for _, target := range s.servers {
 		s.registerServer(target, false)
+		go s.sendHeartbeats(target, until)
 	}
 	var peerAddresses []string
 	for _, i := range s.instances {
@@ -161,9 +172,9 @@
 	for n := range deafCallers {
 		wg.Go(func() { s.sendUnread(n, until) })
 	}
-	for time.Now().Before(until) {
+	for begin := time.Now(); time.Now().Before(until); {
 		time.Sleep(time.Duration(s.rand.Int64N(int64(2 * meanFaultInterval))))
-		s.injectFault()
+		s.injectFault(kindsAt(time.Since(begin)))
 		if s.withKeys {
 			s.publishConfiguration()
 		}
@@ -191,40 +202,3 @@
 		time.Sleep(time.Second)
 	}
 }
-
-// publishConfiguration writes the next version of the configuration to the store.
-func (s *soak) publishConfiguration() {
-	s.configVersion += 3
-	c := standin.Configuration{
-		Version: s.configVersion, Host: "soak", SearchPrefix: "/all/", SinglePrefix: "/one/", SingleService: "s1",
-		ShardServices: shardSets[s.configVersion%len(shardSets)], MaxRecords: maxRecords, MinCoverage: minCoverage,
-		Timeout: requestTimeout, TargetLatency: targetLatency,
-	}
-	if key := s.keyNumber.Add(1); s.withKeys {
-		c.Keys = []string{fmt.Sprint("key-", key)}
-	}
-	for n := range 8 {
-		c.Services = append(c.Services, fmt.Sprint("s", n+1))
-	}
-	s.putWithRetries(standin.ConfigurationKey, c.Record())
-	s.withdrawnAt.Store(s.keyNumber.Load()-1, time.Now())
-}
-
-func (s *soak) registerServer(target *server, draining bool) {
-	r := standin.Server{Service: target.service, Address: target.proxy.address, DataCentre: target.dataCentre, Draining: draining}
-	s.putWithRetries(standin.ServerKey(target.id), r.Record())
-}
-
-// putWithRetries writes a key, with up to 100 attempts, as operators and backend
-// servers do.
-func (s *soak) putWithRetries(key string, value []byte) {
-	for range 100 {
-		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
-		_, err := s.client.Commit(ctx, nil, []platform.Write{{Key: key, Value: value}}, nil)
-		cancel()
-		if err == nil {
-			return
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-}
--- a/lentilstand/platform/wire.go
+++ b/lentilstand/platform/wire.go
@@ -61,6 +61,9 @@
 	ShardServices              []string
 	SingleService              string
 	Services                   []string
+	// PublicServices has the services of further routes, by their prefixes. They serve
+	// idempotent requests and need no key.
+	PublicServices map[string]string
 	// Keys has the keys of tenants, one each. Without keys there are no tenants.
 	Keys                   []string
 	MaxRecords             int
@@ -79,11 +82,17 @@
 	search, single := route("search", c.SearchPrefix, "safe"), route("single", c.SinglePrefix, "unsafe")
 	search["shards"], search["resultCount"], search["minSuccessShare"] = c.ShardServices, c.MaxRecords, c.MinCoverage
 	single["service"] = c.SingleService
+	routes := []any{search, single}
+	for prefix, service := range c.PublicServices {
+		public := route("public "+prefix, prefix, "safe")
+		public["service"], public["public"] = service, true
+		routes = append(routes, public)
+	}
 	var services []any
 	for _, name := range c.Services {
 		services = append(services, map[string]any{"name": name, "maxConnections": 30})
 	}
-	record := map[string]any{"version": c.Version, "routes": []any{search, single}, "services": services}
+	record := map[string]any{"version": c.Version, "routes": routes, "services": services}
 	var tenants []any
 	for n, key := range c.Keys {
 		tenants = append(tenants, map[string]any{"name": fmt.Sprint("tenant-", n+1), "apiKeys": []string{key}})
