--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -41,6 +41,8 @@
 bubble_packages="$main/member $main/fleet"
 bubble_tests='^(TestFleetKeepsLimitsAndConvergesUnderFaults|TestIsolatedInstanceDoesNotSpendTheFleetsRetryBudget|TestNewInstanceFetchesSuspectRequestsFromPeers|TestPoisonRequestsSurviveFleetRestart)$'
 network_tests='^(TestGatherersAreFewAndConnected|TestConnectionOfSilentGathererIsReplaced|TestOneSilentPeerLeadsToACheckOfAll|TestStopDoesNotCloseConnectionsWhoseRequestIsRead|TestStopAnswers.*|TestRestartedInstanceUsesNoServerThatHasLeft|TestAddedRouteIsServed.*|TestOddServerRecordsDoNotStopAnInstance|TestFetchFromHangingPeerDoesNotDelayOthers|TestUnknownRouteIsRefusedAsNotRunWhileUnconfirmed|TestUndisturbedInstancesServeAddedRoutes|TestServersThatLeave.*|TestManyServersThatLeaveAtOnceAreDroppedInTime|TestServersWhoseRecordsExpireInAnOutageAreKept|TestInstanceLearnsChangesWhenAllReadersAreLost|TestInstanceCatchesUpWithChangesTooLargeForOneReply|TestRevocation.*)$'
+# Tests of whole instances while the store returns from a copy, for which the same holds.
+return_tests='^(TestChangesAreInForceAfter.*|TestReturnsOfTheStoreUnderRandomFaults|TestListingThatSpansAReturnIsReadAnew|TestCallsToTheStoreStayBoundedAroundAReturn|TestKeyWithdrawnBeforeAReturnStaysRefused|TestInstanceThatStartsAfterAReturnRefusesWithdrawnKeys|TestServersAreDroppedInTimeWhereTheStoreFailsForOneInstance|TestPeersAreNotAskedToConfirmWhereTheStoreAnswers|TestNoRequestReachesAServerThatDrainsOrHasLeft|Test.*AfterStoreReturned)$'
 # Tests of whole instances and of models of fleets, for which the same holds.
 fleet_tests='^(TestAllowanceHoldsWhile.*|TestServerGetsItsNamedLimitFromAllInstances|TestLimitIsUsedWhileAnInstanceIsLost|TestReplyWithoutValidStatusIsAFailure|TestBadVersionsAreRolledBack|TestCommonStartStaysUnderTheCap|TestControllerIsLostInEachStep|TestPopularDocumentIsServedAfterAllServersCrashed|TestPopularDocumentIsNotRefusedForOtherLosses|TestRequestThatCrashesServersIsRefused|TestDataCentresCutOffFromEachOtherHaveHolders|TestExplanationAgreesWithRequests|TestExplanationNamesHolders|TestFewRequests|TestFirstStartOpensFewConnections|TestGoodVersionIsCompletedThoughAllServersAreSlow|TestGoodVersionIsCompletedWithoutCut|TestInstancesThatAreCutOffStayWithinTheBound|TestNoHoldersWhereConnectionsSuffice|TestOrderIsReplaced|TestOwnershipMovesFromALostHolder|TestRestartedInstancesFollowTheRecord|TestSameVersionIsOrderedAgainAfterRollback|TestSearchesAreHandedToHolders|TestServersThatAppearBeforeTheirOrderGetNothing|TestSeveralOrdersAtOnceWhileServersChange|TestStoreIsAwayBetweenVerdictAndStatus|TestStoreIsSilentWhileMoving|TestStoreLosesAnswers|TestTenantsWithoutAllowanceCostNothing|TestTwoControllersStayWithinTheBound|TestVersionThatTurnsBadWhileMovingIsRolledBack|TestWholeInstancesCarryOutOrders)$'
 
@@ -65,11 +67,12 @@
 
 # shellcheck disable=SC2046
 go test -race -count=1 -skip "$known_red" $(for m in $modules; do go list "./$m/..."; done | grep -vxF -e "$main" $(printf -- '-e %s ' $bubble_packages))
-go test -race -count=1 -skip "$bubble_tests|$network_tests|$fleet_tests|$known_red" "$main"
+go test -race -count=1 -skip "$bubble_tests|$network_tests|$return_tests|$fleet_tests|$known_red" "$main"
 # shellcheck disable=SC2086
 go test -count=1 -skip "$known_red" "$main" $bubble_packages
 test_or_detector_crash -run "$bubble_tests" "$main"
 test_or_detector_crash -run "$network_tests" "$main"
+test_or_detector_crash -run "$return_tests" "$main"
 test_or_detector_crash -run "$fleet_tests" "$main"
 for package in $bubble_packages; do
 	test_or_detector_crash "$package"
