--- a/lentilsoak/records.go
+++ b/lentilsoak/records.go
@@ -230,7 +230,7 @@
 	for range count {
 		writes := make([]platform.Write, otherWrites)
 		for n := range writes {
-			writes[n] = platform.Write{Key: fmt.Sprint("op/other/", n), Value: []byte("{}")}
+			writes[n] = platform.Write{Key: fmt.Sprint("other/", n), Value: []byte("{}")}
 		}
 		s.commit(writes, nil)
 	}
