Check the store as soon as a connection to a peer has gone silent

Callers: requests reached a server up to 5.1 s after it had left (DRAIN), where all connections of an instance went silent less than 0.3 s after the store acknowledged it.

Cause: a watch on a silent connection was given up only at the end of its wait, up to 2.6 s later. The failed watch then counted as a failure of the store, so that the deletion was taken for a possible mass expiry and the server was kept for 2.2 s more. Connections to peers that went silent at the same time were noticed after 0.4 to 0.9 s, but nothing was done about the store.

Change: the check of all peers that one silent peer leads to, at most one a second, also lets an instance that reads the store for its peers close idle connections to the store and ask it at once.

--- a/lentilward/gateway.go
+++ b/lentilward/gateway.go
@@ -84,6 +84,9 @@
 	asksPeers atomic.Bool
 	// peersCheckedAt is when checkPeers has last pinged the peers.
 	peersCheckedAt atomic.Pointer[time.Time]
+	// checkStore makes this instance ask the store at once, on a new connection, if it reads
+	// the store for its peers.
+	checkStore func()
 	// listen opens a listener at one of the instance's addresses.
 	listen func(address netip.AddrPort) (net.Listener, error)
 	// fetchRecords fetches the records that are newer than a version from a
--- a/lentilward/gateway_gather.go
+++ b/lentilward/gateway_gather.go
@@ -78,8 +78,8 @@
 	}()
 }
 
-// checkPeers pings all peers to which a connection is open, at most once in a
-// peerCheckInterval: a fault that silences one connection often silences others.
+// checkPeers pings all peers to which a connection is open, and checks the store, at most once
+// in a peerCheckInterval: a fault that silences one connection often silences others.
 func (g *Gateway) checkPeers() {
 	last, now := g.peersCheckedAt.Load(), time.Now()
 	if last != nil && now.Sub(*last) < peerCheckInterval || !g.peersCheckedAt.CompareAndSwap(last, &now) {
@@ -88,6 +88,7 @@
 	for _, address := range g.links.Connected() {
 		g.connectPeer(address)
 	}
+	g.checkStore()
 }
 
 // dialPeer opens a connection to a peer that ends once it has gone silent.
--- a/lentilward/gateway_store.go
+++ b/lentilward/gateway_store.go
@@ -38,6 +38,12 @@
 	g.follower.MaxWatchWait = watchWait(time.Duration(g.options.Load().Apply))
 	g.follower.ReadsStore = g.readsStore
 	g.follower.ReadsForPeers = func() bool { return g.board.Members.Load().Rank("store") < storeReaderCount }
+	g.checkStore = func() {
+		if g.follower.ReadsForPeers() {
+			store.CloseIdleConnections()
+			g.follower.Confirm()
+		}
+	}
 	o := g.options.Load()
 	g.registrar = newRegistrar(store, o.Name, o.Listen.Peers, g.log)
 	g.registrar.IsRegistered = func() bool { return len(g.mirror.List(platform.InstancePrefix+o.Name)) > 0 }
