--- a/lentilsoak/versions_test.go
+++ b/lentilsoak/versions_test.go
@@ -132,8 +132,7 @@
 	if required, _ := s.operator.requiredAt(time.Now().Add(time.Hour)); required != 0 {
 		t.Errorf("version %d is required although the store has lost it", required)
 	}
-	go s.sendHeartbeats(target, time.Now().Add(2*heartbeatInterval))
-	time.Sleep(2 * heartbeatInterval)
+	s.sendHeartbeats(target, time.Now().Add(2*heartbeatInterval))
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	for key, want := range map[string]string{
