Ask the store once more before a silent watch counts as its outage

Callers: requests reached a server up to 5.3 s after it had left (DRAIN) where only the connection to the store went silent, or in a fleet of one, so that no silent peer leads to a check of the store.

Cause: a watch without a reply counted as a failure of the store, so that a deletion read by the next one was taken for a possible mass expiry, and the server was kept for 2.2 s more.

Change: a watch that timed out is asked again at once. The client has dropped its idle connections by then, so that the second one is on a new connection. Only if that fails is the store taken for away.

--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -182,7 +182,8 @@
 	default:
 	}
 	err := f.watch(ctx, wait)
-	if errors.Is(err, errConfirm) {
+	// A watch without a reply says more of its connection than of the store.
+	if errors.Is(err, errConfirm) || errors.Is(err, errWatchTimeout) && wait > confirmWait {
 		err = f.watch(ctx, confirmWait)
 	}
 	if errors.Is(err, errNewEra) && !f.ReadsForPeers() && f.awaitPeers(ctx) {
--- a/lentilward/network_test.go
+++ b/lentilward/network_test.go
@@ -177,6 +177,17 @@
 	}
 }
 
+// silenceOpenConnectionsOf makes the open connections of one host silent.
+func (n *memoryNetwork) silenceOpenConnectionsOf(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.links {
+		if slices.Contains(l.hosts[:], host) {
+			l.silent.Store(true)
+		}
+	}
+}
+
 // isolate makes the open connections of a host silent, and new ones hang until rejoin.
 func (n *memoryNetwork) isolate(host string) {
 	n.mu.Lock()
