Keep a request to confirm the records that comes between two watches

A server whose removal waits for a confirmation, a peer that asks to have its records confirmed, and a check after a peer went silent waited for the end of the next watch, up to 1.9 s.

Cause: what interrupts a watch by such a request lived until the watch's changes were applied and the pause after them was over. It took the request and ended a watch that had ended already.

Change: it ends with the reply to the watch, and a request that it takes at the same moment is made again.

Evidence: TestConfirmBetweenWatchesAsksTheStoreAtOnce failed ("unconfirmed for 20ms, confirmed 160ms ago").

--- a/lentilward/mirror/confirm_test.go
+++ b/lentilward/mirror/confirm_test.go
@@ -33,3 +33,22 @@
 		want("another request", 20*time.Millisecond)
 	})
 }
+
+// Guards against a request for a confirmation that is lost because the watch whose changes were
+// just applied takes it.
+func TestConfirmBetweenWatchesAsksTheStoreAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{records: make(map[string]Record)}
+		s.write("a", false)
+		f := newTestFollower(s)
+		runFollower(t, f)
+		time.Sleep(time.Second)
+		s.write("b", false)
+		time.Sleep(batchDelay / 2)
+		f.Confirm()
+		time.Sleep(20 * time.Millisecond)
+		if f.UnconfirmedFor() > 0 || f.Age() > 20*time.Millisecond {
+			t.Errorf("unconfirmed for %v, confirmed %v ago", f.UnconfirmedFor(), f.Age())
+		}
+	})
+}
--- a/lentilward/mirror/follower.go
+++ b/lentilward/mirror/follower.go
@@ -207,6 +207,9 @@
 		go func() {
 			select {
 			case <-f.confirmRequested:
+				if watchCtx.Err() != nil {
+					f.requestConfirmation()
+				}
 				cancel(errConfirm)
 			case <-watchCtx.Done():
 			}
@@ -216,6 +219,12 @@
 	begunAt := time.Now()
 	after := f.mirror.Version()
 	page, err := f.Watch(watchCtx, after.Revision, wait)
+	cause := context.Cause(watchCtx)
+	// A request by Confirm that has not ended this watch is for the next one.
+	cancel(nil)
+	if err == nil && errors.Is(cause, errConfirm) {
+		f.requestConfirmation()
+	}
 	if errors.Is(err, ErrCompacted) {
 		if page != nil && page.Version.Era > after.Era {
 			return errNewEra
@@ -223,7 +232,7 @@
 		return err
 	}
 	if err != nil {
-		return errors.Join(err, context.Cause(watchCtx))
+		return errors.Join(err, cause)
 	}
 	switch {
 	case page.Version.Era > after.Era:
