Check servers that leave while the store is not stable in the model of returns

A request that timed out is made again, once for each server at most, since each may have one silent connection; a 503 after that is a failure. The invariants are checked while the model waits for leases to expire as well.

--- a/lentilward/store_return_checks_test.go
+++ b/lentilward/store_return_checks_test.go
@@ -123,15 +123,11 @@
 			due = max(due, version)
 		}
 	}
-	begunAt := time.Now()
-	got := statusOf(i.Gateway, fmt.Sprintf("/v%d/", due))
-	// A call over a connection that has gone silent lasts until the deadline of the request.
-	timedOut := got == http.StatusServiceUnavailable && time.Since(begunAt) >= routeTimeout-defaultAnswerMargin
-	if due > 0 && got != http.StatusOK && !timedOut {
+	if got := m.routeStatus(i, due); due > 0 && got != http.StatusOK {
 		m.fail(i, "status %d for the route of version %d", got, due)
 	}
-	if version := int(i.directory.Current.Load().Configuration.Version); version < due {
-		m.fail(i, "version %d is in force, not %d", version, due)
+	if snapshot := i.directory.Current.Load(); due > 0 && (snapshot == nil || int(snapshot.Configuration.Version) < due) {
+		m.fail(i, "version %d is not in force", due)
 	}
 	undisturbed := min(time.Since(i.disturbedUntil), time.Since(m.disturbedUntil))
 	zoneIsDue := m.isWithdrawn() && m.isOlder(platform.WithdrawnPrefix+withdrawnZone, withdrawalBound)
@@ -141,10 +137,6 @@
 			continue
 		}
 		isDue := s.draining || undisturbed >= recoveryPeriod
-		if m.records[standin.ServerKey(id)].value() == nil {
-			// While the store is not stable, its acknowledgement of a server's leaving does not count.
-			isDue = isDue && time.Since(s.stableAt) >= drainPeriod
-		}
 		if isDue && !s.announcedAt.IsZero() && m.isOlder(standin.ServerKey(id), drainPeriod) {
 			m.fail(i, "%s is used", id)
 		}
@@ -154,6 +146,20 @@
 	}
 }
 
+// routeStatus returns the status of a request for the route of a version. A call over an idle
+// connection that has gone silent lasts until the deadline of its request; there may be one to
+// each server.
+func (m *returnModel) routeStatus(i *returnInstance, version int) int {
+	for range m.servers {
+		begunAt := time.Now()
+		status := statusOf(i.Gateway, fmt.Sprintf("/v%d/", version))
+		if status != http.StatusServiceUnavailable || time.Since(begunAt) < routeTimeout-defaultAnswerMargin {
+			return status
+		}
+	}
+	return http.StatusServiceUnavailable
+}
+
 // isOlder reports whether the store acknowledged a record that long ago and has it since.
 func (m *returnModel) isOlder(key string, period time.Duration) bool {
 	at := m.records[key].acknowledgedAt
@@ -179,6 +185,7 @@
 		if time.Since(begunAt) > 2*agreementPeriod {
 			m.t.Fatalf("the store changes still %v after the last fault", time.Since(begunAt))
 		}
+		m.check()
 	}
 }
 
--- a/lentilward/store_return_model_test.go
+++ b/lentilward/store_return_model_test.go
@@ -125,9 +125,8 @@
 	id, zone  string
 	startedAt time.Time
 	draining  bool
-	// announcedAt is when the server first tried to say that it drains or leaves, and stableAt is
-	// when the store was stable from then on.
-	announcedAt, stableAt time.Time
+	// announcedAt is when the server first tried to say that it drains or leaves.
+	announcedAt time.Time
 }
 
 // returnInstance is an instance with what its present process has shown that it knows.
--- a/lentilward/store_return_writers_test.go
+++ b/lentilward/store_return_writers_test.go
@@ -83,11 +83,15 @@
 		switch {
 		case !s.draining && m.random.IntN(3) > 0:
 			s.draining = true
-			m.noteAnnouncement(s)
+			if s.announcedAt.IsZero() {
+				s.announcedAt = time.Now()
+			}
 			m.note("%s drains", s.id)
 			m.want(key, s.record)
 		case m.records[key].value() != nil:
-			m.noteAnnouncement(s)
+			if s.announcedAt.IsZero() {
+				s.announcedAt = time.Now()
+			}
 			m.note("%s leaves", s.id)
 			m.want(key, func() []byte { return nil })
 		default:
@@ -98,17 +102,6 @@
 	}
 }
 
-// noteAnnouncement notes that a server says that it drains or leaves.
-func (m *returnModel) noteAnnouncement(s *returnServer) {
-	if !s.announcedAt.IsZero() {
-		return
-	}
-	s.announcedAt, s.stableAt = time.Now(), time.Now()
-	if stableAt := m.disturbedUntil.Add(recoveryPeriod); stableAt.After(s.stableAt) {
-		s.stableAt = stableAt
-	}
-}
-
 // toggleWithdrawal withdraws the data centre z2 or lifts its withdrawal.
 func (m *returnModel) toggleWithdrawal() {
 	key := platform.WithdrawnPrefix + withdrawnZone
