--- a/lentilward/directory/directory.go
+++ b/lentilward/directory/directory.go
@@ -112,10 +112,10 @@
 	// of the store, by key.
 	held map[string]mirror.Record
 	// newEraAt is when the store was last seen to have come back from an older copy.
-	// storeIsBehind is set while its configuration is older than the one in force.
 	newEraAt atomic.Pointer[time.Time]
+	// storeIsBehind is set while the store's configuration is older than the one in force.
+	storeIsBehind atomic.Bool
 	// toldConfiguration is the latest version that a peer had in force when it told of a return.
-	storeIsBehind     atomic.Bool
 	toldConfiguration atomic.Uint64
 	services          map[string]*balance.Service
 	routes            map[string]*balance.Route
