--- a/lentilward/fleet_bounds_test.go
+++ b/lentilward/fleet_bounds_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,6 +87,7 @@
 	// more than maxSpreadDelay after that, on instances that had been connected
 	// to the others for as long.
 	thirdCrash time.Time
+	mu         sync.Mutex
 	lateRuns   []string
 }
 
@@ -116,7 +118,9 @@
 			p.thirdCrash = time.Now()
 		}
 		if !p.thirdCrash.IsZero() && time.Since(p.thirdCrash) > maxSpreadDelay && n.isConnected() {
+			p.mu.Lock()
 			p.lateRuns = append(p.lateRuns, fmt.Sprintf("%s at %s, trial %v: %+v", time.Now().Format("05.000"), n.name, servers == 1, g.suspects.Find(suspect.RequestFingerprint(p.request, ""))))
+			p.mu.Unlock()
 		}
 	}
 }
@@ -134,6 +138,8 @@
 const maxLateRuns = 3
 
 func (p *poisonRequest) check() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if len(p.lateRuns) > maxLateRuns {
 		return fmt.Errorf("a poison request ran %d times after all connected instances should refuse it:\n%s", len(p.lateRuns), strings.Join(p.lateRuns, "\n"))
 	}
