Let the soak write for as long as its store may be away

No fault of the instances.

The writer now goes on for 30 s; 100 attempts lasted from 5 to 55 s, by whether the store refused or was silent.

--- a/lentilsoak/records.go
+++ b/lentilsoak/records.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	versionRouteCount = 60
 	// heartbeatInterval is the time between two heartbeats of a server.
 	heartbeatInterval = 2 * time.Second
+	// maxWriteDelay bounds the time in which the store must take a write. Outages and returns
+	// overlap.
+	maxWriteDelay = 30 * time.Second
 	// otherWrites is the number of records in one write of others.
 	otherWrites = 30
 )
@@ -236,17 +240,23 @@
 	}
 }
 
-// commit makes writes and deletes, with up to 100 attempts, as operators and backend servers
-// do.
+// commit makes writes and deletes, again and again for maxWriteDelay, as operators and backend
+// servers do.
 func (s *soak) commit(writes []platform.Write, deletes []string) {
-	for range 100 {
+	begunAt := time.Now()
+	var err error
+	for time.Since(begunAt) < maxWriteDelay {
 		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
-		_, err := s.client.Commit(ctx, nil, writes, deletes)
+		_, err = s.client.Commit(ctx, nil, writes, deletes)
 		cancel()
 		if err == nil {
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	s.ledger.addFinding("the store did not take %d writes and deletes of %v in 100 attempts", len(writes), deletes)
+	keys := slices.Clone(deletes)
+	for _, w := range writes {
+		keys = append(keys, w.Key)
+	}
+	s.ledger.addFinding("the store did not take %v for %v from %s on: %v", keys, maxWriteDelay, begunAt.Format(time.TimeOnly+".000"), err)
 }
