--- a/lentilsoak/instance.go
+++ b/lentilsoak/instance.go
@@ -25,7 +25,9 @@
 	name, dataCentre              string
 	httpAddress, readinessAddress string
 	peerAddress, monitorAddress   string
-	storeProxy                    *proxy
+	// reserved keeps the ports of the addresses from others until the first start.
+	reserved   []net.Listener
+	storeProxy *proxy
 	// calm is disturbed by starts, faults of the process and of its links.
 	calm
 	// restarting is set from the signal that stops the process until the next one is
@@ -52,29 +54,24 @@
 	maxListenPort = 32_000
 )
 
-// freeAddress returns a loopback address with an unused port.
-func freeAddress() (string, error) {
+// listenAnywhere listens on a loopback address with an unused port.
+func listenAnywhere() (net.Listener, error) {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", minListenPort+rand.IntN(maxListenPort-minListenPort))
-		l, err := net.Listen("tcp", address)
-		if errors.Is(err, syscall.EADDRINUSE) {
-			continue
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", minListenPort+rand.IntN(maxListenPort-minListenPort)))
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
 		}
-		if err != nil {
-			return "", err
-		}
-		return address, l.Close()
 	}
 }
 
 func newInstance(name, dataCentre, storeAddress string) (*instance, error) {
 	i := &instance{name: name, dataCentre: dataCentre}
 	for _, a := range []*string{&i.httpAddress, &i.readinessAddress, &i.peerAddress, &i.monitorAddress} {
-		address, err := freeAddress()
+		l, err := listenAnywhere()
 		if err != nil {
 			return nil, err
 		}
-		*a = address
+		*a, i.reserved = l.Addr().String(), append(i.reserved, l)
 	}
 	var err error
 	i.storeProxy, err = newProxy(storeAddress)
@@ -96,6 +93,10 @@
 		return err
 	}
 	defer logFile.Close()
+	for _, l := range i.reserved {
+		l.Close()
+	}
+	i.reserved = nil
 	c := exec.Command(program, "run", "--settings", settings)
 	c.Stdout, c.Stderr = logFile, logFile
 	if err := c.Start(); err != nil {
